Don't refuse at arrival because answers seem slow where there are many sidecars

Cause: above 10 sidecars (blind) onRequest refused with a chance that grew with 'crowding', a mean of answers' times over the least slowness ever seen. Work is long-tailed and the slowness drifts, so single answers move it: the same instant shows 0.75 on one sidecar and 2.84 on another.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -44,8 +44,6 @@
     private static final int EVIDENCE = 40;
     /** The means of rates lean to the own rate by this at each message sent. */
     private static final double LEAN = 0.03;
-    /** Where no load is told, requests are shed above this, and at half as much again nearly all. */
-    private static final double CALM = 1.5, STEEP = 2;
     /** The best is forgotten by this at each solution, so that a lucky start does not count for ever. */
     private static final double CREEP = 1.0005;
     private static final long HEARD_US = 5_000_000;
@@ -608,10 +606,6 @@
         double rank = (1 - r.spec.worth() / topWorth) / 2 + (request.repeat() ? 1 : 0);
         r.order = now + aim + (long) (rank * aim);
         open.put(request.id(), r);
-        if (blind && random.nextDouble() < Math.min(0.95, STEEP * (crowding / CALM - 1))) {
-            giveUp(now, r);
-            return;
-        }
         Server s = waiting.isEmpty() || sampling ? pick(now, r) : null;
         if (s == null) hold(now, r);
         else send(now, r, s);
