Shed by what the whole fleet holds, which each sidecar tells to all

Cause: a sidecar bounds only its own requests on a server (Policy.hasRoom, load): of 14 each holds a few, together they hold 10 a core. Nor could one know: words went to one peer each 500 ms and carried a mean that took 10 s to come true (rate told 158 to 774 a second at 5 s where 920 came). Now each tells its own rate and what servers hold for it, to all; the sum against the warm cores gives the wait in the queues, and a request is refused at once, the likelier the more of the best class's aim that takes.

--- a/src/main/java/rushproxy/PeerWord.java
+++ b/src/main/java/rushproxy/PeerWord.java
@@ -4,35 +4,34 @@
 
 /** What one sidecar tells another, and its bytes: plain data, used by {@link Policy}. */
 final class PeerWord {
-    /** Mean rate a second of the fleet's sidecars, apart by zone. */
-    final double[] rates;
+    /** The sender's zone, by its number in the settings. */
+    int zone;
+    /** Requests a second that come to the sender. */
+    double rate;
+    /** Requests that the servers hold for the sender. */
+    double held;
     /** Of each kind the slowness and the number of answers behind it. */
     final double[] slow;
     final int[] answers;
-    /** How many times longer than at their best the answers take. */
-    double crowding;
     /** Idle connections are dropped after about this long; 0 where nothing was seen of it. */
     long idleLimitUs;
 
-    PeerWord(int zones, int kinds) {
-        rates = new double[zones];
+    PeerWord(int kinds) {
         slow = new double[kinds];
         answers = new int[kinds];
     }
 
     private int length() {
-        return 2 * rates.length + 3 * slow.length + 4;
+        return 3 * slow.length + 7;
     }
 
     byte[] bytes() {
         ByteBuffer b = ByteBuffer.allocate(length());
-        for (double r : rates) {
-            b.putShort(unsigned(r * 100));
-        }
+        b.put((byte) Math.min(255, zone)).putShort(unsigned(rate * 8)).putShort(unsigned(held));
         for (int i = 0; i < slow.length; i++) {
             b.putShort(unsigned(slow[i] * 256)).put((byte) Math.min(255, answers[i]));
         }
-        return b.putShort(unsigned(crowding * 256)).putShort(unsigned(idleLimitUs / 1000.0)).array();
+        return b.putShort(unsigned(idleLimitUs / 1000.0)).array();
     }
 
     private static short unsigned(double value) {
@@ -45,14 +44,13 @@
             return false;
         }
         ByteBuffer b = ByteBuffer.wrap(message);
-        for (int i = 0; i < rates.length; i++) {
-            rates[i] = (b.getShort() & 65_535) / 100.0;
-        }
+        zone = b.get() & 255;
+        rate = (b.getShort() & 65_535) / 8.0;
+        held = b.getShort() & 65_535;
         for (int i = 0; i < slow.length; i++) {
             slow[i] = (b.getShort() & 65_535) / 256.0;
             answers[i] = b.get() & 255;
         }
-        crowding = (b.getShort() & 65_535) / 256.0;
         idleLimitUs = (b.getShort() & 65_535) * 1000L;
         return true;
     }
--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -38,12 +38,17 @@
      * half: it shows that the server lives; one that spoils all it answers is still left alone. */
     private static final int EJECT_AFTER = 4, FAILURE = 2, SPOILT = 1;
     private static final long EJECT_US = 500_000, EJECT_MOST_US = 8_000_000;
-    /** Each sidecar tells one other its rate this often. */
+    /** Each sidecar tells the others its rate this often: to all, or to as many as the price below pays. */
     private static final long TELL_US = 500_000;
+    /** Points of the result that all words may cost together, and most single datagrams at a time. */
+    private static final double PEER_TOLL = 0.002;
+    private static final int DATAGRAMS = 16;
     /** As many answers tell a kind's speed well; more count no more. */
     private static final int EVIDENCE = 40;
-    /** The means of rates lean to the own rate by this at each message sent. */
-    private static final double LEAN = 0.03;
+    /** Between these parts of the aim, a request is refused the likelier, the more of it the queues take. */
+    private static final double CALM = 0.25, FULL = 0.75;
+    /** Traffic so many times the tenants' quotas is not believed of a peer. */
+    private static final double FAR_FETCHED = 5;
     /** The best is forgotten by this at each solution, so that a lucky start does not count for ever. */
     private static final double CREEP = 1.0005;
     private static final long HEARD_US = 5_000_000;
@@ -79,6 +84,9 @@
     private final SplittableRandom random;
     private final Map<String, RequestClass> classes = new HashMap<>();
     private double topWorth;
+    /** The shortest aim of the class of most worth: queues longer than that serve nobody in time. */
+    private long topAim = Long.MAX_VALUE;
+    private long longestUs;
     /** The two drawn servers are asked for their load by probes: the paper's sampled load itself. */
     private final boolean sampling;
     /** Connections and handshakes have a price: a sidecar keeps to a few servers of each kind. */
@@ -96,8 +104,12 @@
             classWork.put(c.name(), c.aimUs() / 4.0);
             meanWork += c.aimUs() / 4.0 / cfg.classes().size();
             classes.put(c.name(), c);
+            if (c.worth() > topWorth) topAim = Long.MAX_VALUE;
             topWorth = Math.max(topWorth, c.worth());
+            if (c.worth() == topWorth) topAim = Math.min(topAim, c.aimUs());
+            longestUs = Math.max(longestUs, c.deadlineUs());
         }
+        peers = new Peer[cfg.balancers()];
         zoneRate = new double[cfg.zones().size()];
         Limits limits = cfg.limits();
         sampling = limits.probing() && cfg.reports() != Reports.NONE && 2 * cfg.prices().probe() <= TOLL;
@@ -216,7 +228,7 @@
         double[] part = new double[zoneRate.length];
         for (Server s : ready) part[s.zone] += 1.0 / ready.size();
         if (!priced() || !blind) return part;
-        double total = now - heardAt < HEARD_US ? Arrays.stream(zoneRate).sum() : 0;
+        double total = heard > 0 ? Arrays.stream(zoneRate).sum() : 0;
         double stay = total <= 0 ? 1 : Math.min(1, part[home] * total / Math.max(1e-9, zoneRate[home]));
         double gaps = 0;
         for (int z = 0; z < part.length; z++) {
@@ -297,7 +309,6 @@
             s.kind.cores = Math.max(1, s.kind.cores * (1 - step));
             gain *= 1 - part;
         }
-        crowding += SPEED_GAIN * (Math.min(2 * TAIL, relative / s.kind.least) - crowding);
         s.heardAt = now;
         s.kind.heardAt = now;
         if (success && !apart(s)) {
@@ -337,6 +348,7 @@
         ownRate = keep * ownRate + (1 - keep) * arrivals * 1e6 / passed;
         arrivals = 0;
         rateAt = now;
+        gather(now);
     }
 
     /** The mean of the streams heard of, own one included, times their number. */
@@ -352,8 +364,8 @@
     /** Of the ready servers, the fastest one's {@link Server#slow}. */
     private double bestSlow = 1;
 
-    /** How many times longer than at their best answers take, beyond what the own requests explain. */
-    private double crowding = 1;
+    /** Of the servers not left out: cores as far as they are warm, and requests a second that they serve. */
+    private double coresNow, capacity;
 
     /** Eq. (4) over groups of {@code k} servers of speed {@code mu}; those with a negative share are
      * dropped and the rest solved again. The shares sum to 1, or all are 0. */
@@ -416,12 +428,18 @@
         }
         List<List<Server>> groups = new ArrayList<>(byKind.values());
         double[] k = new double[groups.size()], mu = new double[groups.size()];
+        coresNow = capacity = 0;
         for (int i = 0; i < k.length; i++) {
             Server first = groups.get(i).get(0);
             double slow = 0;
             for (Server s : groups.get(i)) slow += s.slow();
             k[i] = groups.get(i).size();
             mu[i] = 1e6 * first.kind.cores * warmth(first, now) / (slow / k[i] * meanWork);
+            for (Server s : groups.get(i)) {
+                if (now < s.ejectedUntil) continue;
+                coresNow += s.kind.cores * warmth(s, now) * ready.size() / members.size();
+                capacity += mu[i] * ready.size() / members.size();
+            }
         }
         double[] p = split(k, mu, fleetRate() * members.size() / Math.max(1, ready.size()));
         for (int i = 0; i < k.length; i++) {
@@ -443,8 +461,9 @@
         if (now - loggedAt < LOG_US) return;
         loggedAt = now;
         StringBuilder text = new StringBuilder(String.format(Locale.ROOT,
-                "rate %.0f of %.0f a second, waiting %d, crowding %.2f, mean work %.0f us",
-                ownRate, fleetRate(), waiting.size(), crowding, meanWork));
+                "rate %.0f of %.0f a second, waiting %d, held %.0f of %.0f on %.0f cores, %d peers heard,"
+                + " mean work %.0f us",
+                ownRate, fleetRate(), waiting.size(), held(now), fleetHeld(now), coresNow, heard, meanWork));
         kinds.forEach((name, k) -> text.append(
                 String.format(Locale.ROOT, "; %s cores %.2f slow %.2f", name, k.cores, k.slow)));
         for (Server s : ready) {
@@ -606,11 +625,37 @@
         double rank = (1 - r.spec.worth() / topWorth) / 2 + (request.repeat() ? 1 : 0);
         r.order = now + aim + (long) (rank * aim);
         open.put(request.id(), r);
+        refresh(now);
+        if (shed(now, r)) {
+            giveUp(now, r);
+            return;
+        }
         Server s = waiting.isEmpty() || sampling ? pick(now, r) : null;
         if (s == null) hold(now, r);
         else send(now, r, s);
     }
 
+    /** Requests that servers hold for this sidecar; those on servers left out are in nobody's way. */
+    private double held(long now) {
+        double held = 0;
+        for (Server s : ready) held += now < s.ejectedUntil ? 0 : Math.max(0, s.own - s.lost);
+        return held;
+    }
+
+    /** The same for all sidecars, as far as they have told: the own part of a server's queue may be small. */
+    private double fleetHeld(long now) {
+        return cfg.balancers() * (held(now) + heldElsewhere) / (heard + 1);
+    }
+
+    /** Where the fleet's queues take a good part of the time within which an answer is wanted, taking all
+     * makes all late. What is worth less goes first. The chance rises smoothly: no swings in step. */
+    private boolean shed(long now, Req r) {
+        if (capacity <= 0) return false;
+        double wait = 1e6 * (fleetHeld(now) - coresNow) / capacity;
+        double part = wait / (topAim * Math.sqrt(r.spec.worth() / topWorth));
+        return random.nextDouble() * (FULL - CALM) < part - CALM;
+    }
+
     private void hold(long now, Req r) {
         if (now >= lastStart(r)) {
             // Little time left, as on a client's last try: the sweep would come after its deadline.
@@ -1001,31 +1046,56 @@
     }
 
     // ---- peers ----------------------------------------------------------------------------------
-    /** Mean rate of the fleet's sidecars, apart by their zone. */
+    /** What each told last, by number; null before its first word. */
+    private final Peer[] peers;
+    /** Mean rate of the sidecars heard of lately and this one, apart by their zone. */
     private final double[] zoneRate;
     private double[] zonePart;
-    private long heardAt = Long.MIN_VALUE / 2;
-    private int tells;
+    /** Peers heard of lately, and what they hold together. */
+    private int heard;
+    private double heldElsewhere;
+
+    /** Words are lost, and who is killed says nothing any more: what is old does not count. */
+    private void gather(long now) {
+        Arrays.fill(zoneRate, 0);
+        zoneRate[home] = ownRate;
+        heard = 0;
+        heldElsewhere = 0;
+        for (Peer p : peers) {
+            if (p == null || now - p.at > HEARD_US) continue;
+            heard++;
+            zoneRate[p.zone] += p.rate;
+            heldElsewhere += p.held;
+        }
+        for (int z = 0; z < zoneRate.length; z++) zoneRate[z] /= heard + 1;
+    }
 
-    /** To one peer at a time, so that the cost does not grow with the fleet. Each mixes the rates it hears in
-     * halves and leans to its own, so that all come near the mean of all streams. */
+    /** To all, while all words together cost little; in a fleet so large or so quiet that they would cost
+     * more, to some at random: the means need a sample only. */
     private void tell(long now) {
         measure(now);
-        tells++;
-        for (int z = 0; z < zoneRate.length; z++) {
-            double own = z == home ? ownRate : 0;
-            zoneRate[z] += (own - zoneRate[z]) * Math.max(LEAN, 1.0 / tells);
-        }
-        PeerWord word = new PeerWord(zoneRate.length, cfg.kinds().size());
-        System.arraycopy(zoneRate, 0, word.rates, 0, zoneRate.length);
+        PeerWord word = new PeerWord(cfg.kinds().size());
+        word.zone = home;
+        word.rate = ownRate;
+        word.held = held(now);
         for (int i = 0; i < word.slow.length; i++) {
             Kind k = kinds.get(cfg.kinds().get(i));
             word.slow[i] = k.slow;
             word.answers[i] = Math.min(EVIDENCE, k.answers);
         }
-        word.crowding = crowding;
         word.idleLimitUs = now - idleOwnAt < IDLE_FORGET_US ? idleLimit : 0;
-        out.tell((cfg.me() + 1 + random.nextInt(cfg.balancers() - 1)) % cfg.balancers(), word.bytes());
+        byte[] bytes = word.bytes();
+        int others = cfg.balancers() - 1;
+        // The price is for bytes by request, over the fleet: each sidecar pays for its part of the rate.
+        double each = cfg.prices().peer() * bytes.length / 256 * 1e6 / TELL_US;
+        double paid = PEER_TOLL * fleetRate() / cfg.balancers() / Math.max(1e-9, each);
+        if (paid >= others) {
+            out.tell(-1, bytes);
+        } else {
+            for (int i = 0; i < Math.max(1, Math.min(DATAGRAMS, (int) paid)); i++) {
+                out.tell((cfg.me() + 1 + random.nextInt(others)) % cfg.balancers(), bytes);
+            }
+        }
         out.timer("tell", TELL_US);
     }
 
@@ -1033,10 +1103,15 @@
     @Override
     public void onPeer(long now, int peer, byte[] message) {
         boolean known = peer >= 0 && peer < cfg.balancers() && peer != cfg.me();
-        PeerWord word = new PeerWord(zoneRate.length, cfg.kinds().size());
-        if (!known || !word.read(message)) return;
-        heardAt = now;
-        for (int z = 0; z < zoneRate.length; z++) zoneRate[z] += (word.rates[z] - zoneRate[z]) / 2;
+        PeerWord word = new PeerWord(cfg.kinds().size());
+        if (!known || !word.read(message) || word.zone >= zoneRate.length) return;
+        Peer p = peers[peer] == null ? peers[peer] = new Peer() : peers[peer];
+        double quotas = cfg.tenants().stream().mapToDouble(Tenant::quotaPerSecond).sum();
+        p.rate = quotas > 0 ? Math.min(word.rate, FAR_FETCHED * quotas) : word.rate;
+        // Nobody holds more than what came within the longest deadline.
+        p.held = Math.min(word.held, 1 + p.rate * longestUs / 1e6);
+        p.zone = word.zone;
+        p.at = now;
         for (int i = 0; i < word.slow.length; i++) {
             Kind k = kinds.get(cfg.kinds().get(i));
             int answers = Math.min(EVIDENCE, word.answers[i]);
@@ -1044,7 +1119,6 @@
             k.slow += (word.slow[i] - k.slow) / 2 * answers / (answers + Math.min(EVIDENCE, k.answers));
             k.answers = Math.max(k.answers, answers / 2);
         }
-        crowding += (Math.min(2 * TAIL, word.crowding) - crowding) / 2;
         if (word.idleLimitUs > 0) limitIdle(now, word.idleLimitUs);
     }
 }
