Don't learn time spent behind other sidecars' requests as slowness

Cause: Policy.learn takes what waited for a core out of a server's speed, but Policy.send noted only the own requests as held (a.held): of 14 sidecars each has 0 or 1 there, so waits behind others were all slowness, and nothing was left to tell cores from.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -642,6 +642,12 @@
         return held;
     }
 
+    /** Requests of others on a server that tells no load, by its part of the warm cores, as far as told. */
+    private double strangers(Server s, long now) {
+        if (cfg.reports() != Reports.NONE || heard == 0 || coresNow <= 0 || now < s.ejectedUntil) return 0;
+        return (fleetHeld(now) - held(now)) * s.kind.cores * warmth(s, now) / coresNow;
+    }
+
     /** The same for all sidecars, as far as they have told: the own part of a server's queue may be small. */
     private double fleetHeld(long now) {
         return cfg.balancers() * (held(now) + heldElsewhere) / (heard + 1);
@@ -762,7 +768,7 @@
         a.server = s;
         a.entry = s.entry;
         a.sentAt = now;
-        a.held = load(s, now);
+        a.held = load(s, now) + strangers(s, now);
         a.expected = expected(s, r.work, a.held, now);
         a.plain = a.expected / s.slow();
         r.attempts.add(a);
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -430,6 +430,24 @@
         assertEquals(0, refused(rig), "words age");
     }
 
+    /** An own request that waits behind those of 13 others tells of their number, not of a slow server. */
+    @Test
+    void timeSpentBehindOthersRequestsIsNotLearnedAsSlowness() {
+        Rig rig = oneOfMany();
+        for (int i = 0; i < 100; i++) {
+            hear(rig, 10, 1);
+            String id = "r" + i;
+            rig.after(200_000).request(id);
+            String to = rig.sentTo(id, 0);
+            if (to != null) {
+                // 75 ms of work behind 13 others on two servers of two cores: a wait of about three such.
+                rig.after(150_000).outcome(id, 0, to, Outcome.OK, 290_000);
+            }
+        }
+        double slow = rig.policy.kinds.get("k").slow;
+        assertTrue(slow > 0.6 && slow < 1.7, "slowness " + slow);
+    }
+
     @Test
     void aPeerIsNotBelievedToHoldMoreThanCanHaveComeToIt() {
         Rig rig = oneOfMany();
