Leave cold servers to their share of the draw instead of taking them first

Cause: Policy.pick took any warming server with a free core before the draw. That gives one cold server its turns among many sidecars; with half the fleet cold it sends nearly every request to the slowest servers there are, and all sidecars do it together.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -485,10 +485,10 @@
     private Server pick(long now, Req r) {
         refresh(now);
         Server turn = null;
-        for (int i = 0; i < cold.size() && turn == null; i++) {
+        for (int i = 0; sampling && i < cold.size() && turn == null; i++) {
             turn = hasRoom(now, r, cold.get(i), true) ? cold.get(i) : null;
         }
-        if (sampling || turn != null) return sampling ? sampled(now, r, turn) : turn;
+        if (sampling) return sampled(now, r, turn);
         boolean stay = !blind || far.size() == 0 || random.nextDouble() < zonePart[home];
         Server s = pair(now, r, stay ? near : far, false, null);
         s = s != null ? s : pair(now, r, all, true, null);
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -448,6 +448,26 @@
         assertTrue(slow > 0.6 && slow < 1.7, "slowness " + slow);
     }
 
+    /** Taken whenever its turn comes, many cold servers got most requests of a fleet, and answered them late. */
+    @Test
+    void aColdServerGetsItsPartOfTheDrawAndNoMore() {
+        int cold = 0;
+        for (int seed = 0; seed < 300; seed++) {
+            Rig rig = new Rig();
+            rig.balancers = 14;
+            rig.me = seed % 14;
+            rig.seed = seed;
+            rig.reports = Balancer.Reports.NONE;
+            // Half warm, with three warm servers beside it: a seventh of the capacity.
+            rig.start().list(A, B, Rig.up("d", "za", 1),
+                    new Upstream("c", "za", "k", 1, rig.now - 12_000_000, 1, UpstreamState.READY));
+            hear(rig, 8, 0);
+            rig.after(200_000).request("r");
+            cold += "c".equals(rig.sentTo("r", 0)) ? 1 : 0;
+        }
+        assertTrue(cold >= 10 && cold <= 90, cold + " of 300");
+    }
+
     @Test
     void aPeerIsNotBelievedToHoldMoreThanCanHaveComeToIt() {
         Rig rig = oneOfMany();
