Share descriptors between clients and upstreams as they need them

Cause: Sidecar.java gave clients five eighths of the descriptors for good, 210 of 384, of which they use at most 128, and upstreams the rest. With 60 of them an idle connection is hardly ever to the server that is drawn: the oldest is closed and another dialled, with its handshake's time and price. With 8 to 10 servers 126 were enough. Ruled out: servers' own caps (no CONNECT_FAILED, no REJECTED).

--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -39,6 +39,8 @@
     private final Map<String, RequestClass> classes;
     private final BooleanSupplier canServe;
     private final int maxConnections;
+    /** Whether the descriptors suffice for one more connection. */
+    private final BooleanSupplier roomForMore;
     /** The most connections of clients that are kept open between requests. */
     private final int maxSpare;
     private final Totals totals;
@@ -53,7 +55,7 @@
     private long acceptedUs;
 
     ClientServer(EventLoop loop, Clock clock, Requests requests, List<RequestClass> classes, BooleanSupplier canServe,
-                 int maxConnections, int maxSpare, Totals totals) {
+                 int maxConnections, BooleanSupplier roomForMore, int maxSpare, Totals totals) {
         this.loop = loop;
         this.clock = clock;
         this.requests = requests;
@@ -61,6 +63,7 @@
         longestUs = classes.stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
         this.canServe = canServe;
         this.maxConnections = maxConnections;
+        this.roomForMore = roomForMore;
         this.maxSpare = maxSpare;
         this.totals = totals;
     }
@@ -124,15 +127,19 @@
             makeRoom(acceptedUs);
         }
         // Beyond the cap they wait in the backlog: descriptors are needed for upstreams too.
-        accepting.setAutoRead(connections.size() < maxConnections);
+        accepting.setAutoRead(takesOneMore());
         channel.closeFuture().addListener(f -> {
             connections.remove(connection);
-            accepting.setAutoRead(connections.size() < maxConnections);
+            accepting.setAutoRead(takesOneMore());
         });
         channel.pipeline().addLast(connection.arrivals(), new RequestDecoder(), new HttpResponseEncoder(),
                 new RequestBodies(connection::nothingOwed), connection);
     }
 
+    private boolean takesOneMore() {
+        return connections.size() < maxConnections && roomForMore.getAsBoolean();
+    }
+
     /** One between requests goes: first who has never asked, then who asked longest ago. Neither right after coming. */
     private void makeRoom(long now) {
         Optional<ClientConnection> idle = connections.stream().filter(c -> c.idleFor(now) > FRESH_US)
@@ -147,6 +154,8 @@
         if (connections.size() >= maxConnections) {
             makeRoom(now);
         }
+        // What upstreams' connections have given back since.
+        listener.config().setAutoRead(takesOneMore());
     }
 
     boolean ready() {
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -54,18 +54,23 @@
         this.module = module;
         Balancer.Settings settings = config.settings();
         int most = Math.max(32, config.sockets() - OWN_DESCRIPTORS);
-        // Clients may hold a third of all for their requests, and others come and say nothing.
+        // Clients may hold a third of all for their requests, and others come and say nothing. What they leave is for
+        // upstreams, whose idle connections give way: too few of them, and most requests begin with a handshake.
         int fromClients = most * 5 / 8;
         // A quarter of that third for connections between requests: the rest is for requests in progress.
         int spare = config.sockets() / 12;
         upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), config.dialTimeoutUs(),
-                stallUs(settings), most - fromClients, totals);
+                stallUs(settings), () -> most - openFromClients(), totals);
         requests = new Requests(loop, clock, decisions, upstreams, settings.limits().maxAttempts(), totals);
         discovery = new Discovery(loop, clock, decisions, upstreams, config.discovery(), config.known().generation(),
                 settings.rules().askEveryUs(), !settings.discoveryOnRequest());
         peers = new Peers(clock, decisions, config.peers(), config.peersAll());
         clients = new ClientServer(loop, clock, requests, settings.classes(), upstreams::anyReady, fromClients,
-                spare, totals);
+                () -> openFromClients() + upstreams.open() < most || upstreams.dropOldestIdle(), spare, totals);
+    }
+
+    private int openFromClients() {
+        return clients.open();
     }
 
     /** A quarter of the time within which an answer is wanted leaves enough of it for another attempt. */
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import java.util.function.LongFunction;
 import rushproxy.Balancer.LoadReport;
 import rushproxy.Balancer.Outcome;
@@ -124,13 +125,14 @@
     private final EventLoop loop;
     private final Clock clock;
     private final long idleUs;
-    private final int maxConnections;
+    /** How many connections may be open now: what others leave of the descriptors. */
+    private final IntSupplier maxConnections;
     private final Totals totals;
     private final Bootstrap bootstrap;
     private final Map<String, Target> targets = new HashMap<>();
     private int connections;
 
-    Upstreams(EventLoop loop, Clock clock, long connIdleUs, long dialTimeoutUs, long stallUs, int maxConnections,
+    Upstreams(EventLoop loop, Clock clock, long connIdleUs, long dialTimeoutUs, long stallUs, IntSupplier maxConnections,
               Totals totals) {
         this.loop = loop;
         this.clock = clock;
@@ -246,7 +248,7 @@
     }
 
     private void connect(Call call) {
-        if (connections >= maxConnections && !dropOldestIdle()) {
+        if (connections >= maxConnections.getAsInt() && !dropOldestIdle()) {
             call.end(Outcome.NOT_SENT, null, null);
             return;
         }
@@ -274,7 +276,8 @@
         });
     }
 
-    private boolean dropOldestIdle() {
+    /** False where every connection is in use. */
+    boolean dropOldestIdle() {
         Target oldest = null;
         for (Target t : targets.values()) {
             if (!t.idle.isEmpty() && (oldest == null || connection(t.idle.peekLast()).idleSinceUs
--- a/src/test/java/rushproxy/sidecar/RequestLifeTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestLifeTest.java
@@ -176,4 +176,26 @@
             }
         }
     }
+
+    /** A busy sidecar needs a connection for each request, and one for each idle upstream that it will use again. */
+    @Test
+    void whatClientsLeaveOfTheDescriptorsIsForUpstreams() throws Exception {
+        try (Rig rig = new Rig()) {
+            Peer silent = rig.upstream((m, line) -> { });
+            // 48 for the program itself, and as many clients as may have requests: a third.
+            rig.sockets = 192;
+            rig.start();
+            Peer.Client[] clients = new Peer.Client[192 / 3];
+            for (int i = 0; i < clients.length; i++) {
+                clients[i] = rig.client();
+                clients[i].send(Rig.get("c" + i, 30_000));
+            }
+            for (int i = 0; i < clients.length; i++) {
+                silent.next();
+            }
+            for (Peer.Client c : clients) {
+                c.close();
+            }
+        }
+    }
 }
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -1,6 +1,7 @@
 package rushproxy.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
@@ -31,7 +32,7 @@
     }
 
     private Upstreams upstreams(long idleUs, int most) throws Exception {
-        return loop.submit(() -> new Upstreams(loop, clock, idleUs, 2_000_000, 20_000, most, new Totals())).get();
+        return loop.submit(() -> new Upstreams(loop, clock, idleUs, 2_000_000, 20_000, () -> most, new Totals())).get();
     }
 
     private static UpstreamList list(boolean whole, String... entries) {
@@ -124,6 +125,25 @@
         }
     }
 
+    /** Clients that come in numbers need descriptors: a connection that rests is closed for them, one in use is not. */
+    @Test
+    void anIdleConnectionGivesWayAndOneInUseDoesNot() throws Exception {
+        try (Peer a = new Peer((m, line) -> line.answer("200 OK", "", ""));
+             Peer silent = new Peer((m, line) -> { })) {
+            Upstreams upstreams = upstreams(15_000_000, 2);
+            loop.execute(() -> upstreams.update(list(true, Rig.entry("a", a.address(), "Ready", 0),
+                    Rig.entry("silent", silent.address(), "Ready", 0))));
+            loop.execute(() -> upstreams.start(call("a")));
+            assertEquals("a OK", outcome());
+            loop.execute(() -> upstreams.start(call("silent")));
+            silent.next();
+            assertTrue(loop.submit(upstreams::dropOldestIdle).get());
+            assertEquals(-1, a.accepted.take().getInputStream().read());
+            assertEquals(1, loop.submit(upstreams::open).get());
+            assertFalse(loop.submit(upstreams::dropOldestIdle).get());
+        }
+    }
+
     /** What never came up holds no place: otherwise a crashed upstream would use up the cap by and by. */
     @Test
     void connectionsThatFailFreeTheirPlace() throws Exception {
