Tell peers the cores found, so that small sidecars need not shed by a first guess

Cause: cores are learned from answers that waited (Policy.learn), which needs hundreds; slowness was told to peers (PeerWord) and cores were not. Now both are, weighed by the answers behind them, one word moving little.

--- a/src/main/java/rushproxy/PeerWord.java
+++ b/src/main/java/rushproxy/PeerWord.java
@@ -10,26 +10,28 @@
     double rate;
     /** Requests that the servers hold for the sender. */
     double held;
-    /** Of each kind the slowness and the number of answers behind it. */
+    /** Of each kind the slowness, the cores and the number of answers behind them. */
     final double[] slow;
+    final double[] cores;
     final int[] answers;
     /** Idle connections are dropped after about this long; 0 where nothing was seen of it. */
     long idleLimitUs;
 
     PeerWord(int kinds) {
         slow = new double[kinds];
+        cores = new double[kinds];
         answers = new int[kinds];
     }
 
     private int length() {
-        return 3 * slow.length + 7;
+        return 5 * slow.length + 7;
     }
 
     byte[] bytes() {
         ByteBuffer b = ByteBuffer.allocate(length());
         b.put((byte) Math.min(255, zone)).putShort(unsigned(rate * 8)).putShort(unsigned(held));
         for (int i = 0; i < slow.length; i++) {
-            b.putShort(unsigned(slow[i] * 256)).put((byte) Math.min(255, answers[i]));
+            b.putShort(unsigned(slow[i] * 256)).putShort(unsigned(cores[i] * 256)).put((byte) Math.min(255, answers[i]));
         }
         return b.putShort(unsigned(idleLimitUs / 1000.0)).array();
     }
@@ -49,6 +51,7 @@
         held = b.getShort() & 65_535;
         for (int i = 0; i < slow.length; i++) {
             slow[i] = (b.getShort() & 65_535) / 256.0;
+            cores[i] = (b.getShort() & 65_535) / 256.0;
             answers[i] = b.get() & 255;
         }
         idleLimitUs = (b.getShort() & 65_535) * 1000L;
--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -1087,6 +1087,7 @@
         for (int i = 0; i < word.slow.length; i++) {
             Kind k = kinds.get(cfg.kinds().get(i));
             word.slow[i] = k.slow;
+            word.cores[i] = k.cores;
             word.answers[i] = Math.min(EVIDENCE, k.answers);
         }
         word.idleLimitUs = now - idleOwnAt < IDLE_FORGET_US ? idleLimit : 0;
@@ -1122,7 +1123,10 @@
             Kind k = kinds.get(cfg.kinds().get(i));
             int answers = Math.min(EVIDENCE, word.answers[i]);
             if (word.slow[i] <= 0 || answers == 0) continue;
-            k.slow += (word.slow[i] - k.slow) / 2 * answers / (answers + Math.min(EVIDENCE, k.answers));
+            double part = 0.5 * answers / (answers + Math.min(EVIDENCE, k.answers));
+            k.slow += part * (word.slow[i] - k.slow);
+            // Found from queues alone, which one of many sidecars seldom meets.
+            k.cores = Math.max(1, k.cores + part * (Math.min(word.cores[i], TAIL * k.cores) - k.cores));
             k.answers = Math.max(k.answers, answers / 2);
         }
         if (word.idleLimitUs > 0) limitIdle(now, word.idleLimitUs);
--- a/src/test/java/rushproxy/PeerWordTest.java
+++ b/src/test/java/rushproxy/PeerWordTest.java
@@ -16,6 +16,7 @@
         word.held = 128;
         word.slow[0] = 1.5;
         word.slow[1] = 0.25;
+        word.cores[0] = 3.5;
         word.answers[1] = 40;
         word.idleLimitUs = 8_000_000;
         return word;
@@ -29,6 +30,7 @@
         assertEquals(604.5, read.rate, 0.1);
         assertEquals(128, read.held);
         assertArrayEquals(new double[] {1.5, 0.25}, read.slow);
+        assertArrayEquals(new double[] {3.5, 0}, read.cores);
         assertArrayEquals(new int[] {0, 40}, read.answers);
         assertEquals(8_000_000, read.idleLimitUs);
     }
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -468,6 +468,24 @@
         assertTrue(cold >= 10 && cold <= 90, cold + " of 300");
     }
 
+    /** Cores show in queues alone, which a sidecar of little traffic hardly meets: it takes those of the others. */
+    @Test
+    void coresAreLearnedFromThoseThatMeetQueues() {
+        Rig rig = oneOfMany();
+        PeerWord word = new PeerWord(1);
+        word.slow[0] = 1;
+        word.cores[0] = 4;
+        word.answers[0] = 40;
+        for (int peer = 1; peer < 14; peer++) {
+            rig.policy.onPeer(rig.now, peer, word.bytes());
+        }
+        double cores = rig.policy.kinds.get("k").cores;
+        assertTrue(cores > 3 && cores <= 4, "cores " + cores);
+        word.cores[0] = 255;
+        rig.policy.onPeer(rig.now, 1, word.bytes());
+        assertTrue(rig.policy.kinds.get("k").cores < 3 * cores, "one false word moves little");
+    }
+
     @Test
     void aPeerIsNotBelievedToHoldMoreThanCanHaveComeToIt() {
         Rig rig = oneOfMany();
