Open a broken or silent watch on discovery anew at once

Checked and ruled out: the sends themselves. Upstreams sends nothing to a target that the list calls draining, nor on a connection that comes up after that; the drains were simply not known. The lines at fault are Discovery's MOST_WAIT_MS and SILENT_MS, by which a silent watch is noticed after 21.5 s at the latest, while what it hides counts as told 6 s after it fell silent or 2 s after its wait is over; and Discovery.again, which then lets 0.5 to 1.5 s pass, though what the agent on the same machine has counts as told whether or not a watch is open.

Now a watch waits 2 s and is broken 0.5 s later; the first failure is followed by the next call at once, further ones after 25 to 100 ms with jitter (Backoff); a call that need not wait is given 0.25 to 1 s, so that several fit into the 4 s after a new configuration. The first call of a process doesn't wait either, and the sidecar is ready only once it was answered or has failed: what the agent has counts as told from the process's first moment, and the known list of the start may be old. A gap of calls is 50 ms at most in place of 100. The log has one line when a row of failures begins and one when it ends.

Each new test was seen to fail without its part: pauses after the first failure, the long wait, readiness by the old list.

Where the module asks for the list itself, failures are told to it as before. Two tests and the rig's discovery answer the first call now, which readiness waits for.

--- a/src/main/java/rushproxy/sidecar/Discovery.java
+++ b/src/main/java/rushproxy/sidecar/Discovery.java
@@ -22,22 +22,35 @@
 import rushproxy.Balancer.Upstream;
 
 /**
- * The watch on discovery: one call after the other without a gap, as soon as the module has asked for it. A call
- * that fails in any way is told to the module, which decides when to ask again; the list it has still holds.
+ * The watch on discovery: one call after the other without a gap. What the agent has counts as told, whether or not a
+ * watch is open: so one that breaks or falls silent is opened anew at once, and the first call of all does not wait.
+ * Where the module asks for the list, failures are told to it, and it decides when to ask again; the list it has
+ * still holds.
  */
 final class Discovery {
     private static final String PATH = "/registry/instances";
     /** A list of some thousand upstreams; more is no list. */
     private static final int MAX_ANSWER = 1 << 20;
     private static final int CONNECT_MS = 1_000;
-    /** Discovery keeps a call for the whole list in its queue for seconds. */
-    private static final long WHOLE_MS = 4_000;
-    /** Changes count as told 2 s after a watch's wait is over: one that is silent then is asked again before. */
-    private static final long SILENT_MS = 1_500;
-    private static final long MOST_WAIT_MS = 20_000;
-    private static final long AGAIN_MS = 1_000;
     /** A watch lasts while its calls follow within 200 ms; discovery that answers at once is not called without pause. */
-    private static final long PACE_MS = 100;
+    private static final long PACE_MS = 50;
+    /** Pauses after failed calls: the longest is a part of the time that any grace after a notice allows. */
+    private static final long AGAIN_US = 25_000, AGAIN_MOST_US = 100_000;
+
+    /**
+     * How long calls are waited for. A silent watch is broken, and what it misses counts as told 6 s after it fell
+     * silent, or 2 s after its wait is over: a short wait and little patience leave most of that for asking anew.
+     * The agent, on this machine, answers at once what need not wait; one that does not is asked again, ever more
+     * patiently, as a long list to a busy sidecar may take its time.
+     */
+    record Patience(long waitMs, long silentMs, long promptMs) {
+        static final Patience USUAL = new Patience(2_000, 500, 250);
+        private static final int MOST_DOUBLED = 2;
+
+        long ms(boolean waits, int failures) {
+            return waits ? waitMs + silentMs : promptMs << Math.min(failures, MOST_DOUBLED);
+        }
+    }
 
     /** Stands for a call that keeps all others from being made. */
     private static final long NEVER = -1;
@@ -46,12 +59,15 @@
     private final Clock clock;
     private final Decisions decisions;
     private final Upstreams upstreams;
-    private final long waitMs;
+    private final Patience patience;
+    private final Backoff backoff;
     private InetSocketAddress address;
     private final Bootstrap bootstrap;
     private long generation;
     /** After an answer that made no sense the whole list is asked for. */
     private boolean doubt;
+    /** No call has been answered, nor failed: what changed since the list that the start brought is not known. */
+    private boolean fresh = true;
     /** The module has asked and waits for an answer, be it one without changes. */
     private boolean asked;
     private Channel channel;
@@ -64,24 +80,34 @@
     private final boolean pushed;
 
     Discovery(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, InetSocketAddress address,
-              long generation, long askEveryUs, boolean pushed) {
+              long generation, boolean pushed, Patience patience, Backoff backoff) {
         this.pushed = pushed;
+        this.patience = patience;
+        this.backoff = backoff;
         this.loop = loop;
         this.clock = clock;
         this.decisions = decisions;
         this.upstreams = upstreams;
         this.address = address;
         this.generation = generation;
-        waitMs = askEveryUs <= 0 ? MOST_WAIT_MS : Math.min(MOST_WAIT_MS, askEveryUs / 1000);
         bootstrap = Dialling.http(loop, CONNECT_MS, MAX_ANSWER, Handler::new);
     }
 
+    static Backoff backoff() {
+        return new Backoff(AGAIN_US, AGAIN_MOST_US, bound -> ThreadLocalRandom.current().nextLong(bound));
+    }
+
     void start() {
         if (pushed) {
             subscribe();
         }
     }
 
+    /** The list is as new as it can be had: the first call was answered, or nobody is there to answer it. */
+    boolean heard() {
+        return !fresh;
+    }
+
     void subscribe() {
         asked = !pushed;
         goOn();
@@ -128,7 +154,7 @@
         long number = ++calls;
         call = number;
         begunUs = clock.now();
-        timeout = loop.schedule(() -> failed(number, "no answer"), doubt ? WHOLE_MS : waitMs + SILENT_MS,
+        timeout = loop.schedule(() -> failed(number, "no answer"), patience.ms(waits(), backoff.failures()),
                 TimeUnit.MILLISECONDS);
         if (channel != null && channel.isActive()) {
             write(number);
@@ -145,8 +171,13 @@
         });
     }
 
+    /** A whole list comes at once, and so do the changes that are asked for first. */
+    private boolean waits() {
+        return !doubt && !fresh;
+    }
+
     private void write(long number) {
-        String uri = doubt ? PATH : PATH + "?index=" + generation + "&wait=" + waitMs;
+        String uri = doubt ? PATH : PATH + "?index=" + generation + "&wait=" + (waits() ? patience.waitMs() : 0);
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
         request.headers().set("Host", "discovery");
         channel.writeAndFlush(request).addListener(f -> {
@@ -163,20 +194,22 @@
         end();
         // What may still come on it answers a call that is over.
         hangUp();
-        asked = false;
-        Log.line("a call to discovery failed: " + why);
+        fresh = false;
+        long pauseUs = backoff.failed();
+        if (backoff.failures() == 1) {
+            Log.line("a call to discovery failed: " + why);
+        }
         if (pushed) {
-            again();
+            again(pauseUs);
         } else {
+            asked = false;
             // The module asks again, ever later; without a working one nobody would.
-            decisions.call(m -> m.onList(clock.now(), ListKind.FAILED, List.of()), this::again);
+            decisions.call(m -> m.onList(clock.now(), ListKind.FAILED, List.of()), () -> again(pauseUs));
         }
     }
 
-    /** Jittered, so that sidecars that failed together do not ask together again. */
-    private void again() {
-        loop.schedule(this::subscribe, AGAIN_MS / 2 + ThreadLocalRandom.current().nextLong(AGAIN_MS),
-                TimeUnit.MILLISECONDS);
+    private void again(long pauseUs) {
+        loop.schedule(this::subscribe, pauseUs, TimeUnit.MICROSECONDS);
     }
 
     private void end() {
@@ -202,6 +235,11 @@
             return;
         }
         end();
+        if (backoff.failures() > 0) {
+            Log.line("discovery answers again after " + backoff.failures() + " failed calls");
+            backoff.succeeded();
+        }
+        fresh = false;
         doubt = false;
         generation = list.generation();
         if (!HttpUtil.isKeepAlive(response)) {
--- a/src/main/java/rushproxy/sidecar/Rehearsal.java
+++ b/src/main/java/rushproxy/sidecar/Rehearsal.java
@@ -110,14 +110,15 @@
         return new UpstreamList(1, true, entries);
     }
 
-    /** Upstream and discovery in one. A watch is left waiting, as where nothing changes. */
+    /** Upstream and discovery in one. A watch that may wait is left waiting, as where nothing changes. */
     private static final class Stage extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-            if (request.uri().startsWith("/registry/")) {
+            boolean list = request.uri().startsWith("/registry/");
+            if (list && !request.uri().endsWith("wait=0")) {
                 return;
             }
-            String load = "TEXT inflight=0, queue=0, util=0.1";
+            String load = list ? "{\"generation\":1,\"reset\":false,\"instances\":[]}" : "TEXT inflight=0, queue=0, util=0.1";
             FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
                     Unpooled.copiedBuffer(load, StandardCharsets.US_ASCII));
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, load.length()).set(Headers.LOAD, load);
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -50,6 +50,10 @@
     }
 
     Sidecar(Config config, Module module) {
+        this(config, module, Discovery.Patience.USUAL, Discovery.backoff());
+    }
+
+    Sidecar(Config config, Module module, Discovery.Patience patience, Backoff backoff) {
         this.config = config;
         this.module = module;
         Balancer.Settings settings = config.settings();
@@ -63,9 +67,10 @@
                 stallUs(settings), () -> most - openFromClients(), totals);
         requests = new Requests(loop, clock, decisions, upstreams, settings.limits().maxAttempts(), totals);
         discovery = new Discovery(loop, clock, decisions, upstreams, config.discovery(), config.known().generation(),
-                settings.rules().askEveryUs(), !settings.discoveryOnRequest());
+                !settings.discoveryOnRequest(), patience, backoff);
         peers = new Peers(clock, decisions, config.peers(), config.peersAll());
-        clients = new ClientServer(loop, clock, requests, settings.classes(), upstreams::anyReady, fromClients,
+        clients = new ClientServer(loop, clock, requests, settings.classes(),
+                () -> discovery.heard() && upstreams.anyReady(), fromClients,
                 () -> openFromClients() + upstreams.open() < most || upstreams.dropOldestIdle(), spare, totals);
     }
 
--- a/src/test/java/rushproxy/sidecar/BadInputTest.java
+++ b/src/test/java/rushproxy/sidecar/BadInputTest.java
@@ -47,6 +47,7 @@
         try (Rig rig = new Rig()) {
             rig.upstream((m, line) -> line.answer("200 OK", "", "ok"));
             rig.start();
+            rig.await("list DELTA");
             for (Map.Entry<String, Integer> c : cases.entrySet()) {
                 try (Peer.Client client = rig.client()) {
                     client.send(c.getKey());
--- a/src/test/java/rushproxy/sidecar/DiscoveryTest.java
+++ b/src/test/java/rushproxy/sidecar/DiscoveryTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
@@ -11,6 +13,20 @@
 @Timeout(60)
 class DiscoveryTest {
     private static final String UP = Rig.entry("u0", "127.0.0.1:9", "Ready", 0);
+    private static final String DRAINS = UP.replace("Ready", "Terminating");
+    /** Waits, and pauses after a second failure, for longer than a test does. */
+    private static final Discovery.Patience PATIENT = new Discovery.Patience(3_600_000, 0, 3_600_000);
+    private static final long HOUR_US = 3_600_000_000L;
+
+    private static Rig pushed(Discovery.Patience patience, Peer.Script script) throws Exception {
+        Rig rig = new Rig(script);
+        rig.settings = rig.settings.replace("on_request", "pushed");
+        rig.asks = false;
+        rig.patience = patience;
+        rig.backoff = new Backoff(HOUR_US, HOUR_US, bound -> 0);
+        rig.upstream((m, line) -> { });
+        return rig.start();
+    }
 
     @Test
     void theWatchGoesOnFromEachVersion() throws Exception {
@@ -119,8 +135,9 @@
                 line.answer("200 OK", "", Rig.list(3, true, UP));
             }
         });
-             Rig rig = new Rig()) {
+             Rig rig = new Rig((m, line) -> { })) {
             rig.upstream((m, line) -> { });
+            rig.patience = PATIENT;
             rig.start();
             rig.await("list CACHED");
             assertTrue(rig.discovery.next().path().contains("?index=41&wait="));
@@ -131,4 +148,82 @@
             assertEquals(-1, rig.discovery.accepted.take().getInputStream().read(), "the old connection was left open");
         }
     }
+
+    /** What the agent has counts as told, also while no watch is open: one that breaks is opened anew at once. */
+    @Test
+    void aWatchThatBreaksIsOpenedAnewAtOnce() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (Rig rig = pushed(PATIENT, (m, line) -> {
+            switch (calls.incrementAndGet()) {
+                case 1, 6 -> line.answer("200 OK", "", Rig.list(m.path().contains("=41&") ? 41 : 42, false));
+                case 2 -> line.reset();
+                case 3 -> line.answer("200 OK", "", Rig.list(42, false, DRAINS));
+                case 4 -> line.socket().close();
+                case 5 -> line.answer("200 OK", "", Rig.list(43, false, UP));
+                default -> { }
+            }
+        })) {
+            rig.await("list CACHED");
+            assertEquals("list DELTA u0=DRAINING", rig.await("list"));
+            assertEquals("list DELTA u0=READY", rig.await("list"), "a later break is not a first one");
+        }
+    }
+
+    /** A watch that has fallen silent never speaks again; what it misses counts as told before long. */
+    @Test
+    void aWatchThatFallsSilentIsOpenedAnewAtOnce() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (Rig rig = pushed(new Discovery.Patience(1, 100, 3_600_000), (m, line) -> {
+            switch (calls.incrementAndGet()) {
+                case 1 -> line.answer("200 OK", "", Rig.list(41, false));
+                case 2 -> { }
+                default -> line.answer("200 OK", "", Rig.list(42, false, DRAINS));
+            }
+        })) {
+            rig.await("list CACHED");
+            assertEquals("list DELTA u0=DRAINING", rig.await("list"));
+        }
+    }
+
+    @Test
+    void silenceIsNoticedWellBeforeWhatItHidesCountsAsTold() {
+        Discovery.Patience usual = Discovery.Patience.USUAL;
+        long toldMs = Math.min(6_000, usual.waitMs() + 2_000);
+        assertTrue(usual.ms(true, 0) <= toldMs - 1_000, "noticed after " + usual.ms(true, 0) + " ms");
+        // After a new configuration, 4 s: for several calls that nobody answers.
+        assertTrue(usual.ms(false, 0) + usual.ms(false, 1) + usual.ms(false, 2) + usual.ms(false, 3) <= 3_000);
+    }
+
+    /** The list that the start brings may be old: it is not served by before discovery was asked. */
+    @Test
+    void aSidecarIsReadyOnceItHasAskedWhatChanged() throws Exception {
+        BlockingQueue<Peer.Line> asked = new LinkedBlockingQueue<>();
+        try (Rig rig = pushed(PATIENT, (m, line) -> {
+            if (m.path().equals("/registry/instances?index=41&wait=0")) {
+                asked.add(line);
+            }
+        })) {
+            Peer.Line first = asked.poll(20, TimeUnit.SECONDS);
+            assertEquals(503, ready(rig));
+            first.answer("200 OK", "", Rig.list(42, false, UP));
+            assertEquals("list DELTA u0=READY", rig.await("list DELTA"));
+            assertEquals(200, ready(rig));
+        }
+    }
+
+    /** While discovery is down nothing is to be had from it, and the list of the start has to do. */
+    @Test
+    void aSidecarIsReadyAllTheSameWhereNobodyAnswers() throws Exception {
+        try (Rig rig = pushed(new Discovery.Patience(3_600_000, 0, 1), (m, line) -> { })) {
+            while (ready(rig) != 200) {
+                Thread.onSpinWait();
+            }
+        }
+    }
+
+    private static int ready(Rig rig) throws Exception {
+        try (Peer.Client client = rig.client()) {
+            return client.send("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").status();
+        }
+    }
 }
--- a/src/test/java/rushproxy/sidecar/RehearsalTest.java
+++ b/src/test/java/rushproxy/sidecar/RehearsalTest.java
@@ -47,6 +47,7 @@
             rig.upstream((m, line) -> line.answer("200 OK", "", "ok"));
             rig.rehearsal = cut::countDown;
             rig.start();
+            rig.await("list DELTA");
             try (Peer.Client client = rig.client()) {
                 client.send("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n");
                 assertEquals(503, client.status());
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -51,15 +51,21 @@
     /** Whether the module asks for a watch. */
     boolean asks = true;
     int sockets = 1024;
+    Discovery.Patience patience = Discovery.Patience.USUAL;
+    Backoff backoff = Discovery.backoff();
     private volatile Balancer.Actions actions;
 
     Rig(Peer.Script discovers) throws IOException {
         discovery = new Peer(discovers);
     }
 
-    /** Discovery that keeps every watch waiting. */
+    /** Discovery where nothing changes: every watch that may wait is kept waiting. */
     Rig() throws IOException {
-        this((m, line) -> { });
+        this((m, line) -> {
+            if (m.path().endsWith("&wait=0")) {
+                line.answer("200 OK", "", list(41, false));
+            }
+        });
     }
 
     Peer upstream(Peer.Script script) throws IOException {
@@ -115,7 +121,7 @@
         sidecar = new Sidecar(config, (c, now, out) -> {
             actions = out;
             return new Recorder();
-        });
+        }, patience, backoff);
         if (rehearsal != null) {
             sidecar.notReadyBefore(rehearsal);
         }
