Send nothing on whose request is over while its connection comes up

Read, and then forced in a test: Requests.left, refuse, fail and a served copy end a request, but leave an attempt alone whose connection is still coming up. Requests.finish is at fault: it ended the request and not what waits to be sent for it.

Now finish withdraws every attempt that has not been written whole: its connection is closed, and the outcome is that it was not sent, which says nothing of the upstream. What an upstream already has goes on as before.

Ruled out: the module. It takes a request whose client left from its queue at once (onExpired), and Requests.send ends an attempt of a request that is over without sending it.

That a client which ends its sending counts as gone was so and is now tested.

The new test has the end fall into the turn of the loop in which the connection is begun; without the change it waits in vain for the outcome and the request is sent.

--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -53,7 +53,7 @@
         decisions.call(m -> m.onRequest(clock.now(), x.request), () -> fail(x));
     }
 
-    /** The client has left: nothing is owed any more, and what is out ends by itself. */
+    /** The client has left: nothing is owed any more, and what an upstream already has ends by itself. */
     void left(Exchange x) {
         if (!x.over) {
             totals.left();
@@ -162,9 +162,11 @@
         }
     }
 
+    /** An attempt whose connection is still coming up would be sent on for nobody, as late as that takes. */
     private void finish(Exchange x) {
         x.over = true;
         x.overdue.cancel(false);
+        x.attempts.forEach(Upstreams.Call::withdraw);
         forgetIfSettled(x);
     }
 
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -90,6 +90,13 @@
             abandon(Outcome.CANCELLED);
         }
 
+        /** Nobody wants it any more: without its last byte written it has not run, and now it never will. */
+        void withdraw() {
+            if (!written) {
+                abandon(Outcome.NOT_SENT);
+            }
+        }
+
         /** The hinge of all outcomes: without its last byte written a request has never run. */
         void broke() {
             end(written ? Outcome.RESET : Outcome.CONNECT_FAILED, null, null);
--- a/src/test/java/rushproxy/sidecar/RequestLifeTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestLifeTest.java
@@ -102,6 +102,22 @@
         }
     }
 
+    /** Who ends its sending has gone away, as who closes does: nothing tells the two apart in time. */
+    @Test
+    void aClientThatEndsItsSendingHasLeft() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> { });
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                client.send(Rig.get("a1", 20_000));
+                rig.await("request");
+                client.socket.shutdownOutput();
+                assertEquals("expired a1", rig.await("expired"));
+                assertTrue(client.ended());
+            }
+        }
+    }
+
     /** A second copy's answer, or one after the final answer, must not reach the client. */
     @Test
     void theFirstAnswerCountsAndALaterOneIsOnlyTold() throws Exception {
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/RequestsTest.java
@@ -0,0 +1,109 @@
+package rushproxy.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpMethod;
+import java.lang.reflect.Proxy;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import rushproxy.Balancer;
+
+/** Events that cross within one turn of the loop, where no connection can come up in between. */
+@Timeout(60)
+class RequestsTest {
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final Clock clock = new Clock();
+    private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+    private Requests requests;
+    private Upstreams upstreams;
+
+    @BeforeEach
+    void start() throws Exception {
+        loop.submit(() -> {
+            Decisions decisions = new Decisions();
+            decisions.start(out -> (Balancer) Proxy.newProxyInstance(getClass().getClassLoader(),
+                    new Class<?>[] {Balancer.class}, (self, method, arguments) -> {
+                        told.add(method.getName() + (method.getName().equals("onOutcome")
+                                ? " " + arguments[1] + " " + arguments[4] + " " + arguments[6] : ""));
+                        return null;
+                    }), null);
+            upstreams = new Upstreams(loop, clock, 15_000_000, 2_000_000, 20_000, () -> 100, new Totals());
+            requests = new Requests(loop, clock, decisions, upstreams, 4, new Totals());
+        }).sync();
+    }
+
+    @AfterEach
+    void end() {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+    }
+
+    private Exchange exchange(String id) {
+        return new Exchange(new Balancer.Request(id, -1, false, false, 0, 20_000_000, "t", "c"), HttpMethod.GET, "/api",
+                null, new byte[0], clock.now() + 20_000_000, new Exchange.Answer() {
+                    @Override
+                    public void served(ByteBuf body) {
+                        told.add("served " + id + " " + body.toString(StandardCharsets.US_ASCII));
+                        body.release();
+                    }
+
+                    @Override
+                    public void refused(long retryAfterUs) {
+                        told.add("refused " + id);
+                    }
+
+                    @Override
+                    public void failed() {
+                        told.add("failed " + id);
+                    }
+                });
+    }
+
+    private void await(String line) throws InterruptedException {
+        for (String t; (t = told.poll(20, TimeUnit.SECONDS)) != null; ) {
+            if (t.equals(line)) {
+                return;
+            }
+        }
+        throw new AssertionError("never told: " + line);
+    }
+
+    /** Whether its client left or the answer was given: what waits for its connection must not be sent any more. */
+    @Test
+    void whatWaitsForItsConnectionWhenItsRequestIsOverIsNeverSent() throws Exception {
+        try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", m.header("X-Txn")))) {
+            loop.submit(() -> upstreams.update(UpstreamList.of(Json.parse(Rig.list(1, true,
+                    Rig.entry("u0", up.address(), "Ready", 0)).getBytes(StandardCharsets.UTF_8))))).sync();
+            for (String how : new String[] {"left", "refused", "failed"}) {
+                loop.execute(() -> {
+                    Exchange x = exchange(how);
+                    requests.take(x);
+                    requests.send(how, "u0", 0);
+                    switch (how) {
+                        case "left" -> requests.left(x);
+                        case "refused" -> requests.refuse(how, 0);
+                        default -> requests.fail(how);
+                    }
+                });
+                await("onOutcome " + how + " NOT_SENT true");
+            }
+            assertEquals(0, loop.submit(requests::open).get());
+            loop.execute(() -> {
+                requests.take(exchange("next"));
+                requests.send("next", "u0", 0);
+            });
+            await("served next next");
+            assertEquals(1, up.messages.size(), "a request was sent on for nobody");
+        }
+    }
+}
