Read on behind requests sent ahead, so that the leaving of their client is seen

Read, and then forced in a test: ClientConnection stopped reading (setAutoRead(false)) with 8 requests ahead of their turn, and behind an error that waited for an answer. A connection that is not read has no end: its client's leaving went unnoticed, and one request after the other was sent on for nobody, each as late as the one before took.

Ruled out: noticing it by another way. The NIO selector drops a channel of no interest, so neither a FIN nor a reset shows, and a FIN stands behind all bytes that were not read.

Now reading never stops. What may be sent ahead is bounded by bytes in place of by a pause: beyond 256 KiB (it was 8 requests of up to 64 KiB each) the client gets the answers to what was taken, a 503 and an end; what comes behind an end is read and dropped before the decoder.

The new tests: a client sends 2, 20 and 2,000 requests at once and goes, and its first one's end is told while the upstream still holds it (with 20 the old code never tells it); 2,000 requests ahead end with a refusal.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -37,8 +37,13 @@
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     /** An answer leaves this long before its client gives up, so that it is there in time on a busy core. */
     private static final long MARGIN_US = 15_000;
-    /** Requests sent ahead of their turn before no more is read. */
-    private static final int MOST_AHEAD = 8;
+    /**
+     * What may be sent ahead of its turn. Clients of the protocol send nothing ahead; who sends more than this gets its
+     * answers and an end. Reading never stops: the leaving of a client that is not read goes unnoticed.
+     */
+    private static final int MOST_AHEAD_BYTES = 4 * Headers.MAX_BODY;
+    /** What a request takes beside its body. */
+    private static final int OVERHEAD_BYTES = 1024;
     private static final int KEY_BITS = 53;
     /** Applications send at once what they send: a request not whole after this long is none. */
     private static final long WHOLE_US = 2_000_000;
@@ -55,6 +60,7 @@
     private final Map<String, RequestClass> classes;
     private final ClientServer server;
     private final ArrayDeque<Arrival> ahead = new ArrayDeque<>();
+    private int aheadBytes;
     /** When the request being read sent its first byte; 0 between requests. */
     private long readingSinceUs;
     private long activeUs;
@@ -69,7 +75,11 @@
     /** The last answer is written: whatever was sent behind its request is no request. */
     private boolean closing;
 
-    private record Arrival(FullHttpRequest message, long sentUs) {}
+    private record Arrival(FullHttpRequest message, long sentUs) {
+        int bytes() {
+            return OVERHEAD_BYTES + message.content().readableBytes();
+        }
+    }
 
     ClientConnection(Channel channel, Clock clock, Requests requests, Map<String, RequestClass> classes, ClientServer server) {
         this.channel = channel;
@@ -86,6 +96,11 @@
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext ctx, Object message) {
+                if (last != null || closing) {
+                    // Read all the same, for its end is to be noticed.
+                    ReferenceCountUtil.release(message);
+                    return;
+                }
                 activeUs = clock.now();
                 if (readingSinceUs == 0) {
                     readingSinceUs = activeUs;
@@ -108,19 +123,20 @@
         }
         asked = true;
         // Where several came in one read, the first has used up its start: the others began with the read too.
-        ahead.add(new Arrival((FullHttpRequest) message, readingSinceUs == 0 ? activeUs : readingSinceUs));
+        Arrival arrival = new Arrival((FullHttpRequest) message, readingSinceUs == 0 ? activeUs : readingSinceUs);
         readingSinceUs = 0;
-        if (ahead.size() >= MOST_AHEAD) {
-            channel.config().setAutoRead(false);
-        }
+        ahead.add(arrival);
+        aheadBytes += arrival.bytes();
         next();
+        if (aheadBytes > MOST_AHEAD_BYTES) {
+            end(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        }
     }
 
     /** Answers what is owed, says {@code status} and closes: what else comes can't be told from noise. */
     private void end(HttpResponseStatus status) {
         if (last == null) {
             last = status;
-            channel.config().setAutoRead(false);
             next();
         }
     }
@@ -128,7 +144,7 @@
     private void next() {
         while (!busy && !closing && !ahead.isEmpty() && channel.isActive()) {
             Arrival arrival = ahead.poll();
-            channel.config().setAutoRead(last == null);
+            aheadBytes -= arrival.bytes();
             busy = true;
             spare(false);
             try {
--- a/src/test/java/rushproxy/sidecar/RequestLifeTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestLifeTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import rushproxy.Balancer.Outcome;
@@ -193,6 +194,65 @@
         }
     }
 
+    private static String ahead(int count) {
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < count; i++) {
+            all.append(Rig.get("p" + i, 20_000));
+        }
+        return all.toString();
+    }
+
+    /** However much stands before it, the end of the connection is seen, and what was sent ahead goes nowhere. */
+    @Test
+    void whoSendsMuchAtOnceAndGoesIsSeenToLeave() throws Exception {
+        for (int count : new int[] {2, 20, 2_000}) {
+            try (Rig rig = new Rig()) {
+                rig.upstream((m, line) -> { });
+                rig.start();
+                rig.await("list DELTA");
+                try (Peer.Client client = rig.client()) {
+                    client.send(ahead(count));
+                }
+                assertEquals("expired p0", rig.await("expired"));
+                try (Peer.Client other = rig.client()) {
+                    other.send(Rig.get("other", 20_000));
+                    // Nothing else was taken in between, and the other's request comes after all that was sent.
+                    assertTrue(rig.told.take().startsWith("request other "));
+                }
+            }
+        }
+    }
+
+    /** What one connection may hold is bounded: who sends more ahead gets the answers so far, a refusal and an end. */
+    @Test
+    void whatIsSentAheadIsBounded() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> {
+                try {
+                    answer.await();
+                } catch (InterruptedException e) {
+                    throw new java.io.InterruptedIOException();
+                }
+                line.answer("200 OK", "", m.header("X-Txn"));
+            });
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                client.send(ahead(2_000));
+                rig.await("request p0");
+                answer.countDown();
+                int served = 0;
+                Peer.Message m;
+                while ((m = client.answer()).head().startsWith("HTTP/1.1 200 ")) {
+                    assertEquals("p" + served++, m.body());
+                }
+                assertTrue(m.head().startsWith("HTTP/1.1 503 "), m.head());
+                assertTrue(served > 40 && served < 2_000, served + " were served");
+                assertTrue(client.ended());
+            }
+        }
+    }
+
     /** A busy sidecar needs a connection for each request, and one for each idle upstream that it will use again. */
     @Test
     void whatClientsLeaveOfTheDescriptorsIsForUpstreams() throws Exception {
