Let an upstream's connection rest before it carries the next request

Read, and then forced in tests: UpstreamConnection.deliver frees a connection as soon as its answer is whole, and Upstreams.takeIdle prefers the one freed last. An upstream that answers twice, some milliseconds apart, is found out only where the second answer meets a free connection. Behind the next request on it, that answer was served to the next request, which no upstream had made it for. Neither did deliver ask whether the request it answers is out as a whole.

Ruled out: telling the two apart by what they say. Answers name no request, and the time that one takes proves nothing.

Now a connection rests for 30 ms, and then until what came meanwhile has been read (a timer of the next turn of the loop); an answer that comes before its request's last byte is none, and the request has not run.

--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -63,8 +63,8 @@
         int fromClients = most * 5 / 8;
         // A quarter of that third for connections between requests: the rest is for requests in progress.
         int spare = config.sockets() / 12;
-        upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), config.dialTimeoutUs(),
-                stallUs(settings), () -> most - openFromClients(), totals);
+        upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), Upstreams.REST_US,
+                config.dialTimeoutUs(), stallUs(settings), () -> most - openFromClients(), totals);
         requests = new Requests(loop, clock, decisions, upstreams, settings.limits().maxAttempts(), totals);
         discovery = new Discovery(loop, clock, decisions, upstreams, config.discovery(), config.known().generation(),
                 !settings.discoveryOnRequest(), patience, backoff);
--- a/src/main/java/rushproxy/sidecar/UpstreamConnection.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamConnection.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -38,6 +39,7 @@
     /** When a part of an answer came last. */
     private long readNanos;
     private boolean spoilt;
+    private boolean rested = true;
     /** An answer that has begun and then stops for this long does not end any more. */
     private final long stallUs;
 
@@ -57,6 +59,21 @@
         release = whenFree;
     }
 
+    /**
+     * Not to be used for so long, and then not before what came meanwhile has been read: the second timer falls into
+     * another turn of the loop, each of which reads before it looks at timers. A busy loop is late in both.
+     */
+    void rest(EventLoop loop, long us) {
+        rested = us <= 0;
+        if (!rested) {
+            loop.schedule(() -> loop.schedule(() -> rested = true, 1, TimeUnit.MILLISECONDS), us, TimeUnit.MICROSECONDS);
+        }
+    }
+
+    boolean rested() {
+        return rested;
+    }
+
     /** Nothing has come since the last answer: what comes next on it can only be meant for the next call. */
     boolean clean() {
         return !spoilt && answer == null && !partial();
@@ -133,7 +150,12 @@
             // A probe whose report can't be read tells neither of load nor of a server without reports.
             outcome = Outcome.SPOILT;
         }
-        current.end(outcome, report, outcome == Outcome.OK ? response.content() : null);
+        if (!current.written() && (outcome == Outcome.OK || outcome == Outcome.ERROR)) {
+            // It can't answer what it has not got: this was meant for somebody else.
+            current.spoilt();
+        } else {
+            current.end(outcome, report, outcome == Outcome.OK ? response.content() : null);
+        }
     }
 
     private static Outcome outcome(FullHttpResponse response) {
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -12,6 +12,7 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +27,11 @@
     /** Idle connections are dropped this much before an upstream may drop them: a request then can't cross it. */
     private static final long IDLE_MARGIN_US = 2_000_000;
     private static final long SWEEP_MS = 1_000;
+    /**
+     * A connection rests after its answer before it carries the next request: an upstream that answers twice does so
+     * some milliseconds apart, and a second answer behind the next request would be taken for that one's.
+     */
+    static final long REST_US = 30_000;
 
     /** Told once how a call ended; {@code body} is set with {@code OK} alone and is released afterwards. */
     interface Result {
@@ -65,6 +71,11 @@
             return ended;
         }
 
+        /** Whether the last byte of the message is out. */
+        boolean written() {
+            return written;
+        }
+
         void end(Outcome outcome, LoadReport report, ByteBuf body) {
             if (ended) {
                 return;
@@ -132,6 +143,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final long idleUs;
+    private final long restUs;
     /** How many connections may be open now: what others leave of the descriptors. */
     private final IntSupplier maxConnections;
     private final Totals totals;
@@ -139,12 +151,13 @@
     private final Map<String, Target> targets = new HashMap<>();
     private int connections;
 
-    Upstreams(EventLoop loop, Clock clock, long connIdleUs, long dialTimeoutUs, long stallUs, IntSupplier maxConnections,
-              Totals totals) {
+    Upstreams(EventLoop loop, Clock clock, long connIdleUs, long restUs, long dialTimeoutUs, long stallUs,
+              IntSupplier maxConnections, Totals totals) {
         this.loop = loop;
         this.clock = clock;
         this.maxConnections = maxConnections;
         this.totals = totals;
+        this.restUs = restUs;
         idleUs = Math.max(connIdleUs / 2, connIdleUs - IDLE_MARGIN_US);
         bootstrap = Dialling.tcp(loop, (int) Math.max(1, dialTimeoutUs / 1000), channel -> UpstreamConnection.on(channel, stallUs));
         loop.scheduleWithFixedDelay(this::dropIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
@@ -234,10 +247,16 @@
         }
     }
 
-    /** The most recently used first, so that the others grow old enough to be dropped. */
+    /** The most recently used first of those that have rested, so that the others grow old enough to be dropped. */
     private Channel takeIdle(Target t, long now) {
-        for (Channel c; (c = t.idle.pollFirst()) != null; ) {
-            if (usable(c, now)) {
+        for (Iterator<Channel> i = t.idle.iterator(); i.hasNext(); ) {
+            Channel c = i.next();
+            boolean usable = usable(c, now);
+            if (usable && !connection(c).rested()) {
+                continue;
+            }
+            i.remove();
+            if (usable) {
                 return c;
             }
             c.close();
@@ -316,6 +335,7 @@
     private void release(Call call, Channel channel) {
         if (call.target.state == UpstreamState.READY && call.written) {
             connection(channel).idleSinceUs = clock.now();
+            connection(channel).rest(channel.eventLoop(), restUs);
             call.target.idle.addFirst(channel);
         } else {
             channel.close();
