Serve what waits in the backlog at a stop, and answer before the kill

ClientServer.look closes the listener once none was accepted for 150 ms, also where accepting is paused for want of descriptors: what waits in the backlog then, requests written to it and so taken, is reset. And a request that comes late in a stop was held up to its own deadline, while the kill comes 0.7 s after the longest deadline, at most 3 s, reckoned from SIGTERM: what it finds unanswered is lost.

Now the quiet before the listener closes counts only while it is read; idle connections are closed meanwhile and make room, and the cap on clients' connections holds no more during a stop. What comes during the stop is to be answered 100 ms before the earliest kill.

Ruled out: SIGTERM before readiness or during the rehearsal (the hook stands before the rehearsal begins, and the stop does not wait for it), SIGTERM with SIGHUP and lists during the stop (the loop and the watch run on to the end), two SIGTERMs (the second finds the first's hook running).

Both new tests fail without: the late client gets a reset, and 30 s for its answer.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -189,7 +189,8 @@
         }
         // Nobody waits longer than the class allows; believed, a longer time would hold its request for days.
         long remainingUs = Math.min(remainingMs * 1000, lane.deadlineUs());
-        long deadline = arrival.sentUs + remainingUs - Math.min(MARGIN_US, remainingUs / 4);
+        long deadline = Math.min(server.answerByUs(),
+                arrival.sentUs + remainingUs - Math.min(MARGIN_US, remainingUs / 4));
         Request request = new Request(id, key(h.get(HttpHeaderNames.COOKIE)), "1".equals(h.get(Headers.RESENT)),
                 false, Math.max(0, whole(word(h, Headers.ESTIMATE))), Math.max(1, deadline - clock.now()),
                 h.get(Headers.TENANT), lane.name());
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -32,6 +32,12 @@
     private static final long FRESH_US = 50_000;
     /** An application that goes on coming for this long does not know of the stop. */
     private static final long LISTEN_ON_MS = 1_000;
+    /**
+     * A program that was asked to end is killed so long afterwards, and the longest deadline, at most 3 s of it, later:
+     * a request that comes in the meantime needs its answer before. A part of it is left for the answer's way.
+     */
+    private static final long KILL_MS = 700 - 100;
+    private static final long KILL_MOST_MS = 3_000;
 
     private final EventLoop loop;
     private final Requests requests;
@@ -51,6 +57,8 @@
     /** Null but while a rehearsal is on. */
     private Runnable rehearsal;
     private long stopAtUs;
+    /** The latest time for an answer to what comes from now on. */
+    private long answerByUs = Long.MAX_VALUE;
     private int spare;
     private long acceptedUs;
 
@@ -136,8 +144,9 @@
                 new RequestBodies(connection::nothingOwed), connection);
     }
 
+    /** Where it stops, none comes that could use up more than its part: what waits in the backlog is the last. */
     private boolean takesOneMore() {
-        return connections.size() < maxConnections && roomForMore.getAsBoolean();
+        return (stopping() || connections.size() < maxConnections) && roomForMore.getAsBoolean();
     }
 
     /** One between requests goes: first who has never asked, then who asked longest ago. Neither right after coming. */
@@ -166,9 +175,15 @@
         return stopAtUs > 0;
     }
 
+    long answerByUs() {
+        return answerByUs;
+    }
+
     /** Serves on while the application still comes, answers what is held, closes what is quiet, then says so. */
     void stop(Runnable stopped) {
-        stopAtUs = clock.now() + SERVE_ON_MS * 1000;
+        long now = clock.now();
+        stopAtUs = now + SERVE_ON_MS * 1000;
+        answerByUs = now + KILL_MS * 1000 + Math.min(KILL_MOST_MS * 1000, longestUs);
         Log.line("a stop was asked for: " + connections.size() + " clients' connections");
         look(stopped);
     }
@@ -176,8 +191,13 @@
     private void look(Runnable stopped) {
         long now = clock.now();
         if (now >= stopAtUs) {
-            // Closing the listener would reset what waits in its backlog: only once none has come for a while.
-            if (listener.isOpen() && (now - acceptedUs >= QUIET_MS * 1000 || now >= stopAtUs + LISTEN_ON_MS * 1000)) {
+            // Closing the listener would reset what waits in its backlog: only once none has come for a while, in which
+            // it was read. While descriptors are wanting, what waits there is not seen.
+            boolean accepting = listener.config().isAutoRead();
+            if (!accepting) {
+                acceptedUs = now;
+            }
+            if (listener.isOpen() && accepting && (now - acceptedUs >= QUIET_MS * 1000 || now >= stopAtUs + LISTEN_ON_MS * 1000)) {
                 listener.close();
                 Log.line("listens no more: " + connections.size() + " clients' connections");
             }
--- a/src/test/java/rushproxy/sidecar/ShutdownTest.java
+++ b/src/test/java/rushproxy/sidecar/ShutdownTest.java
@@ -57,6 +57,77 @@
         }
     }
 
+    /**
+     * While descriptors are wanting, clients wait in the backlog, where closing the listener would reset them: their
+     * requests are taken all the same. The idle connections' end shows that the time to close it has come.
+     */
+    @Test
+    void whatWaitsInTheBacklogForDescriptorsIsServedBeforeTheEnd() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        try (Rig rig = new Rig()) {
+            Peer up = rig.upstream((m, line) -> {
+                if (m.header("X-Txn").startsWith("held")) {
+                    try {
+                        answer.await();
+                    } catch (InterruptedException e) {
+                        throw new java.io.InterruptedIOException();
+                    }
+                }
+                line.answer("200 OK", "", m.header("X-Txn"));
+            });
+            // 48 for the program itself: 15 with a request on a connection of its own, and 2 idle clients, fill the rest.
+            rig.sockets = 48 + 32;
+            rig.start();
+            CountDownLatch stopped = new CountDownLatch(1);
+            Peer.Client[] held = new Peer.Client[15];
+            for (int i = 0; i < held.length; i++) {
+                held[i] = rig.client();
+                held[i].send(Rig.get("held" + i, 30_000));
+                up.next();
+            }
+            try (Peer.Client idle = rig.client(); Peer.Client other = rig.client()) {
+                for (Peer.Client c : new Peer.Client[] {idle, other}) {
+                    assertEquals(404, c.send("GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n").status());
+                }
+                try (Peer.Client late = rig.client()) {
+                    late.send(Rig.get("late", 30_000));
+                    rig.sidecar.stop(stopped::countDown);
+                    assertTrue(idle.ended());
+                    assertTrue(other.ended());
+                    assertEquals("late", late.answer().body());
+                }
+            }
+            answer.countDown();
+            for (int i = 0; i < held.length; i++) {
+                assertEquals("held" + i, held[i].answer().body());
+                held[i].close();
+            }
+            assertTrue(stopped.await(20, TimeUnit.SECONDS));
+        }
+    }
+
+    /** The kill comes a while after the longest deadline: later than it, an answer is for nobody. */
+    @Test
+    void whatComesDuringTheStopIsAnsweredBeforeTheKill() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> { });
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                client.send(Rig.get("before", 30_000));
+                assertTrue(remainingUs(rig.await("request before")) > 20_000_000);
+                rig.sidecar.stop(() -> { });
+                try (Peer.Client late = rig.client()) {
+                    late.send(Rig.get("late", 30_000));
+                    assertTrue(remainingUs(rig.await("request late")) <= 3_700_000);
+                }
+            }
+        }
+    }
+
+    private static long remainingUs(String told) {
+        return Long.parseLong(told.substring(told.lastIndexOf(' ') + 1));
+    }
+
     /** Half a request whose client has fallen silent holds up the stop no longer than a client would wait. */
     @Test
     void aClientThatFellSilentDoesNotKeepTheSidecarFromEnding() throws Exception {
