--- a/src/main/java/rushproxy/sidecar/Discovery.java
+++ b/src/main/java/rushproxy/sidecar/Discovery.java
@@ -119,6 +119,7 @@
      */
     void moveTo(InetSocketAddress to) {
         if (to.equals(address)) {
+            Log.line("discovery stays at " + to);
             return;
         }
         Log.line("discovery is now at " + to);
--- a/src/main/java/rushproxy/sidecar/Reload.java
+++ b/src/main/java/rushproxy/sidecar/Reload.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /**
  * Rereads the configuration on SIGHUP, which would end the program if nobody handled it: so from the first line on,
@@ -14,10 +15,14 @@
 
     Reload(Map<String, String> environment) {
         this.environment = environment;
-        Signal.handle(new Signal("HUP"), signal -> asked());
+        if (Signal.handle(new Signal("HUP"), signal -> asked()) == SignalHandler.SIG_IGN) {
+            // Java keeps what it was started with, as by nohup: no handler can change that.
+            Log.line("SIGHUP is ignored by who started this program: no new configuration will be read");
+        }
     }
 
     private synchronized void asked() {
+        Log.line("asked to read the configuration again");
         wanted = true;
         go();
     }
