Repeat keyed requests only where the repeat arrives within their window

A repeat that comes after its window is a second run. Ruled out: group and cell, which are those of the earlier attempt's own list line, and Requests, which resends nothing by itself.

The dial time-out moves from Config into the settings' limits, where the module sees it. The new test has a window one millisecond short of and one past what a connection may take.

--- a/src/main/java/rushproxy/Balancer.java
+++ b/src/main/java/rushproxy/Balancer.java
@@ -40,8 +40,10 @@
 
     record Tenant(String name, double share, double quotaPerSecond) {}
 
+    /** {@code dialTimeoutUs}: a send that needs a new connection reaches its upstream at most so much later. */
     record Limits(int maxAttempts, boolean secondCopies, boolean cancelling, boolean probing, boolean peers,
-                  boolean retryAfter, long maxRetryAfterUs, long connIdleUs, double cpuUsPerRequest) {}
+                  boolean retryAfter, long maxRetryAfterUs, long connIdleUs, long dialTimeoutUs,
+                  double cpuUsPerRequest) {}
 
     /** {@code closeOnDrainUs} is 0 where idle connections to a draining upstream may stay open. */
     record Rules(long drainGraceUs, double coldShare, long rampUs, double fallMultiple, long fallWindowUs,
--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -724,9 +724,11 @@
         return coldRoom(now, s, r.work);
     }
 
-    private static boolean repeatable(RequestClass c, Attempt earlier, Server s, long now) {
+    private boolean repeatable(RequestClass c, Attempt earlier, Server s, long now) {
         if (c.semantics() == Semantics.SAFE) return true;
-        if (c.semantics() == Semantics.UNSAFE || now - earlier.sentAt >= c.windowUs()) return false;
+        // It has to be there within the window, also where its connection comes up late.
+        long there = now + cfg.limits().dialTimeoutUs();
+        if (c.semantics() == Semantics.UNSAFE || there - earlier.sentAt >= c.windowUs()) return false;
         return switch (c.group()) {
             case ALL -> true;
             case ZONE -> s.entry.zone().equals(earlier.entry.zone());
--- a/src/main/java/rushproxy/sidecar/Config.java
+++ b/src/main/java/rushproxy/sidecar/Config.java
@@ -17,7 +17,7 @@
 /** What a sidecar is told at its start. {@code peerListen} and {@code peersAll} are null where there are none. */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
               InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
-              UpstreamList known, Settings settings, long dialTimeoutUs) {
+              UpstreamList known, Settings settings) {
 
     /** A configuration that no sidecar can start with; the message is one line and names the field. */
     static final class Broken extends Exception {
@@ -56,7 +56,7 @@
 
     /** The same settings for a sidecar on another stage, without peers. */
     Config elsewhere(InetSocketAddress listens, InetSocketAddress asks, UpstreamList knows) {
-        return new Config(name, listens, asks, seed, sockets, null, List.of(), null, knows, settings, dialTimeoutUs);
+        return new Config(name, listens, asks, seed, sockets, null, List.of(), null, knows, settings);
     }
 
     /** The file as it is now. Where it names another discovery than the variable of the start, the file is newer. */
@@ -68,8 +68,7 @@
 
     private static Config parse(Json json, Map<String, String> environment) {
         String name = environment.getOrDefault("BALANCER_NAME", json.textOr("name", "sidecar"));
-        SettingsReader reader = new SettingsReader(json.object("settings").flat());
-        Settings settings = reader.read();
+        Settings settings = new SettingsReader(json.object("settings").flat()).read();
         List<InetSocketAddress> peers = new ArrayList<>();
         for (String peer : json.textsOrNone("peers")) {
             peers.add(address("peers", peer));
@@ -78,7 +77,7 @@
         return new Config(name, told(json, environment, "listen", "BALANCER_LISTEN"),
                 told(json, environment, "discovery", "BALANCER_DISCOVERY"), seed(json.text("seed")), sockets,
                 optional(json, "peer_listen"), peers, optional(json, "peers_all"),
-                known(json), settings, reader.dialTimeoutUs());
+                known(json), settings);
     }
 
     private static UpstreamList known(Json json) {
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -64,7 +64,7 @@
         // A quarter of that third for connections between requests: the rest is for requests in progress.
         int spare = config.sockets() / 12;
         upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), Upstreams.REST_US,
-                config.dialTimeoutUs(), stallUs(settings), () -> most - openFromClients(), totals);
+                settings.limits().dialTimeoutUs(), stallUs(settings), () -> most - openFromClients(), totals);
         requests = new Requests(loop, clock, decisions, upstreams, settings.limits().maxAttempts(), totals);
         discovery = new Discovery(loop, clock, decisions, upstreams, config.discovery(), config.known().generation(),
                 !settings.discoveryOnRequest(), patience, backoff);
--- a/src/main/java/rushproxy/wire/SettingsReader.java
+++ b/src/main/java/rushproxy/wire/SettingsReader.java
@@ -56,7 +56,8 @@
         Limits limits = new Limits((int) real("limits.max_attempts", 1), flag("limits.second_copies", false),
                 flag("limits.cancelling", false), flag("limits.probing", false), flag("limits.peers", false),
                 flag("limits.retry_after", false), (long) real("limits.max_retry_after_us", 0),
-                (long) real("limits.conn_idle_us", 15_000_000), real("limits.cpu_us_per_request", 0));
+                (long) real("limits.conn_idle_us", 15_000_000), (long) real("limits.dial_timeout_us", 250_000),
+                real("limits.cpu_us_per_request", 0));
         Rules rules = new Rules((long) need("rules.drain_grace_us"), need("rules.cold_share"),
                 (long) need("rules.ramp_time_us"), need("rules.fall_multiple"), (long) need("rules.fall_us"),
                 (long) real("rules.ask_every_us", 0), (long) real("rules.answer_slack_us", 0),
@@ -72,11 +73,6 @@
                 prices, (long) real("period_us", 1000));
     }
 
-    /** A connection that is not up within this time never comes up. */
-    public long dialTimeoutUs() {
-        return (long) real("limits.dial_timeout_us", 250_000);
-    }
-
     List<String> reportFields() {
         return Arrays.asList(values.getOrDefault("load_info.fields", "").split(","));
     }
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -134,6 +134,19 @@
         assertTrue(late.take("refuse").isEmpty());
     }
 
+    /** A repeat that is sent within the window may be there after it, where its connection comes up late. */
+    @Test
+    void aKeyedRepeatIsThereWithinTheWindowHoweverLateItsConnection() {
+        for (long windowUs : new long[] {259_000, 261_000}) {
+            Rig rig = new Rig();
+            rig.semantics = Semantics.KEYED;
+            rig.windowUs = windowUs;
+            rig.start().list(A, B).request("r").after(10_000);
+            rig.outcome("r", 0, rig.sentTo("r", 0), Outcome.ERROR, 10_000);
+            assertEquals(windowUs > 260_000, rig.sentTo("r", 1) != null, "window " + windowUs);
+        }
+    }
+
     /** Retry advice is for what has not run; a safe request that may have run has failed. */
     @Test
     void whatMayHaveRunIsFailedAndNotRefused() {
