--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -47,7 +47,7 @@
 
     void take(Exchange x) {
         x.takenUs = clock.now();
-        totals.taken();
+        totals.taken(x.request.requestClass());
         open.put(x.request.id(), x);
         x.overdue = loop.schedule(() -> overdue(x), x.deadlineUs + OVERDUE_US - clock.now(), TimeUnit.MICROSECONDS);
         decisions.call(m -> m.onRequest(clock.now(), x.request), () -> fail(x));
@@ -116,7 +116,7 @@
     private void ended(Exchange x, int number, Upstreams.Call call, Outcome outcome, LoadReport report, ByteBuf body) {
         totals.outcome(outcome);
         if (outcome == Outcome.OK && !x.over) {
-            totals.served();
+            totals.served(x.request.requestClass());
             finish(x);
             x.answer.served(body.retain());
         }
@@ -135,7 +135,7 @@
     void refuse(String id, long retryAfterUs) {
         Exchange x = open.get(id);
         if (x != null && !x.over) {
-            totals.refused();
+            totals.refused(x.request.requestClass());
             finish(x);
             x.answer.refused(retryAfterUs);
         }
--- a/src/main/java/rushproxy/sidecar/Totals.java
+++ b/src/main/java/rushproxy/sidecar/Totals.java
@@ -2,14 +2,15 @@
 
 import java.util.EnumMap;
 import java.util.Map;
+import java.util.StringJoiner;
+import java.util.TreeMap;
 import rushproxy.Balancer.Outcome;
 
 /** What was counted since the last line in the log, for a comparison of good stretches with bad ones. */
 final class Totals {
     private final Map<Outcome, Integer> outcomes = new EnumMap<>(Outcome.class);
-    private int taken;
-    private int served;
-    private int refused;
+    /** By class: a total can look well while one class is hardly served. */
+    private final Map<String, Counts> classes = new TreeMap<>();
     private int failed;
     private int left;
     private int begun;
@@ -19,16 +20,26 @@
     private int dialled;
     private long worstLagUs;
 
-    void taken() {
-        taken++;
+    private static final class Counts {
+        int taken;
+        int served;
+        int refused;
     }
 
-    void served() {
-        served++;
+    private Counts of(String requestClass) {
+        return classes.computeIfAbsent(requestClass, c -> new Counts());
     }
 
-    void refused() {
-        refused++;
+    void taken(String requestClass) {
+        of(requestClass).taken++;
+    }
+
+    void served(String requestClass) {
+        of(requestClass).served++;
+    }
+
+    void refused(String requestClass) {
+        of(requestClass).refused++;
     }
 
     void failed() {
@@ -68,17 +79,20 @@
 
     /** All of it in one line, and from the start again; null where nothing happened. */
     String line(int open, int clients, int upstreams) {
-        if (taken + accepted + dialled + open == 0) {
+        if (classes.isEmpty() && accepted + dialled + open == 0) {
             worstLagUs = 0;
             return null;
         }
-        String line = "taken " + taken + ", served " + served + ", refused " + refused + ", failed " + failed + ", left "
-                + left + ", open " + open + "; before the first attempt " + heldUs / Math.max(1, begun) + " us, at most "
-                + worstHeldUs + "; attempts " + outcomes + "; clients' connections " + clients + " (" + accepted
+        StringJoiner counts = new StringJoiner("; ");
+        classes.forEach((name, c) ->
+                counts.add(name + " taken " + c.taken + ", served " + c.served + ", refused " + c.refused));
+        String line = counts + "; failed " + failed + ", left " + left + ", open " + open
+                + "; before the first attempt " + heldUs / Math.max(1, begun) + " us, at most " + worstHeldUs + "; attempts " + outcomes + "; clients' connections " + clients + " (" + accepted
                 + " new), to upstreams " + upstreams + " (" + dialled + " new); the event loop late by up to "
                 + worstLagUs / 1000 + " ms";
         outcomes.clear();
-        taken = served = refused = failed = left = begun = accepted = dialled = 0;
+        classes.clear();
+        failed = left = begun = accepted = dialled = 0;
         heldUs = worstHeldUs = worstLagUs = 0;
         return line;
     }
