Give cold servers of a large fleet as many turns as draws come to

Added up over 84 sidecars' logs from 20 to 25 s: 31 warm servers hold 220 requests, 32 cold ones, at half of their capacity or less, hold 10.

The lines at fault: Policy.coldRoom lets as many sidecars send to a cold server in a slot as it holds requests, some 12 of 102, by turn. A sidecar of 10 requests a second draws one of 60 servers about once in 10 s, and hardly ever in its turn: the two together left a cold server a tenth of what it may get, and the warm ones were overrun.

Now, where a slot holds fewer requests than there are sidecars, so many sidecars have a turn that what they draw of the server, or the most that they send to it, comes to the slot's requests. A sidecar of much traffic may send its part of them in place of one.

Checked: the new test has 100 sidecars of unlike traffic and 20 of 40 servers cold: 19 requests to the cold ones before, over 220 now, no window beyond the allowance; 600 that all press on one cold server stay inside it as before.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -366,6 +366,8 @@
 
     /** Of the servers not left out: cores as far as they are warm, and requests a second that they serve. */
     private double coresNow, capacity;
+    /** Their shares, summed up. */
+    private double shares;
 
     /** Eq. (4) over groups of {@code k} servers of speed {@code mu}; those with a negative share are
      * dropped and the rest solved again. The shares sum to 1, or all are 0. */
@@ -428,7 +430,7 @@
         }
         List<List<Server>> groups = new ArrayList<>(byKind.values());
         double[] k = new double[groups.size()], mu = new double[groups.size()];
-        coresNow = capacity = 0;
+        coresNow = capacity = shares = 0;
         for (int i = 0; i < k.length; i++) {
             Server first = groups.get(i).get(0);
             double slow = 0;
@@ -448,6 +450,7 @@
                 s.share = Math.max(p[i] / k[i], 1e-6 * mu[i]);
                 bestSlow = Math.min(bestSlow, s.slow() / warmth(s, now));
                 all.add(s);
+                shares += now < s.ejectedUntil ? 0 : s.share;
                 if (priced()) (s.zone == home ? near : far).add(s);
                 if (p[i] > 0 && warmth(s, now) < 1) cold.add(s);
             }
@@ -736,9 +739,9 @@
         };
     }
 
-    /** Fourth rule, without messages: half a window is a slot, and in each the sidecars may send as many mean
-     * requests as a third of the budget holds (a window meets three): an equal part each, the rest by turn of
-     * number, server and slot. A server asked first gives twice the turns, one by one: each sees the last. */
+    /** Fourth rule: half a window is a slot, and in each the sidecars may send as many mean requests as
+     * a third of the budget holds (a window meets three): an equal part each, the rest by turn of number,
+     * server and slot. A server asked first gives twice the turns, one by one: each sees the last. */
     private boolean coldRoom(long now, Server s, double work) {
         if (warmth(s, now) >= 1) return true;
         long slot = coldSlot(s, now);
@@ -748,12 +751,28 @@
         long requests = (long) (budget / (sampling ? 1.5 : 3) / meanWork);
         long turn = Math.floorMod(cfg.me() - mix(s.id.hashCode(), (int) slot), cfg.balancers());
         long own = requests / cfg.balancers() + (turn < requests % cfg.balancers() ? 1 : 0);
+        if (!sampling && requests < cfg.balancers()) own = turn < turns(s, requests) ? most(requests) : 0;
         long spacing = sampling ? cfg.rules().fallWindowUs() / 4 / Math.max(1, requests) : 0;
         double sent = s.coldSlot == slot ? s.coldSent : 0;
         boolean due = own > 0 && now >= slotStart + turn * spacing;
         return due && work <= TAIL * meanWork && (sent == 0 || sent + work <= own * meanWork);
     }
 
+    /** The most that this sidecar sends a cold server in a slot: by its part of the fleet's rate, but one. */
+    private long most(long requests) {
+        return 1 + (long) (requests * ownRate / Math.max(1e-9, fleetRate()));
+    }
+
+    /** How many of the sidecars have a turn in a slot that holds fewer requests than there are sidecars. Most
+     * would not draw the server in their turn: there are so many that what they draw, or the most that they
+     * send, comes to the slot's requests. The less busy of two drawn is one that has nothing to do. */
+    private double turns(Server s, long requests) {
+        double drawn = 2 * fleetRate() * cfg.rules().fallWindowUs() / 2e6 * s.share / Math.max(1e-9, shares);
+        double ownDrawn = drawn * ownRate / Math.max(1e-9, fleetRate());
+        double sent = drawn * Math.min(1, most(requests) / Math.max(1e-9, ownDrawn));
+        return cfg.balancers() * requests / Math.max(1e-9, sent);
+    }
+
     private long coldSlot(Server s, long now) {
         return Math.max(0, now - s.entry.startedUs()) / (cfg.rules().fallWindowUs() / 2);
     }
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -8,7 +8,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import rushproxy.Balancer.Group;
 import rushproxy.Balancer.ListKind;
@@ -248,6 +250,70 @@
         assertWarmedInsideTheBudget(1_000_000_000L, sends);
     }
 
+    /**
+     * Many sidecars of unlike traffic, half of the servers cold, as after a release: few sidecars have drawn a cold
+     * server when their turn comes, so turns alone left it next to nothing while the warm ones were overrun.
+     */
+    @Test
+    void coldServersGetTheirPartOfALargeFleetsTrafficAndStayInsideTheBudget() {
+        int n = 100;
+        List<Rig> rigs = new ArrayList<>();
+        Upstream[] list = new Upstream[40];
+        for (int i = 0; i < list.length; i++) {
+            // Two cores at 0.1 s each: a warm one serves 20 a second, a cold one 3 of them when it starts.
+            list[i] = new Upstream("s" + i, "za", "k", 1, i < 20 ? 0 : 1_000_000_000L, 1, UpstreamState.READY);
+        }
+        for (int i = 0; i < n; i++) {
+            Rig rig = new Rig();
+            rig.me = i;
+            rig.seed = i;
+            rig.balancers = n;
+            rig.aimUs = 400_000;
+            rig.reports = Balancer.Reports.NONE;
+            rigs.add(rig.start().list(list));
+        }
+        Map<String, List<Long>> sends = new HashMap<>();
+        for (int step = 0; step < 800; step++) {
+            for (int i = 0; i < n; i++) {
+                Rig rig = rigs.get(i);
+                rig.after(10_000);
+                if (step % 50 == 0) {
+                    for (int peer = 0; peer < 20; peer++) {
+                        PeerWord word = new PeerWord(1);
+                        word.rate = peer == 0 ? 40 : 3;
+                        rig.policy.onPeer(rig.now, (peer == 0 ? 0 : i + peer) % n, word.bytes());
+                    }
+                }
+                // 40 a second at the first sidecar, 3 at each other: 337, of about 460 that the servers can do.
+                if (i == 0 ? step % 5 < 2 : (step + i) % 33 == 0) {
+                    String id = "r" + step;
+                    rig.actions.clear();
+                    rig.request(id, 400_000);
+                    String to = rig.sentTo(id, 0);
+                    if (to != null) {
+                        sends.computeIfAbsent(to, s -> new ArrayList<>()).add(rig.now);
+                        rig.outcome(id, 0, to, Outcome.OK, 100_000);
+                    }
+                }
+            }
+        }
+        double served = 0;
+        for (int i = 20; i < list.length; i++) {
+            List<Long> of = sends.getOrDefault("s" + i, List.of());
+            served += of.size();
+            for (int k = 0; k < of.size(); k++) {
+                int j = k;
+                while (j < of.size() && of.get(j) < of.get(k) + 1_000_000) {
+                    j++;
+                }
+                double budget = 3 * 20 * (0.13 + 0.87 * (of.get(k) - 1_000_000_000L) / 24e6);
+                assertTrue(j - k <= budget + 3 * Math.sqrt(budget) + 3, j - k + " requests at a budget of " + budget);
+            }
+        }
+        // 20 servers, for 8 s, at 0.13 to 0.42 of 20 a second: 880 if they were as busy as they can be.
+        assertTrue(served > 220, served + " requests to the cold servers");
+    }
+
     /** Sends of 0.1 s each to a server that started cold at {@code start}: some, and in no window too much. */
     private static void assertWarmedInsideTheBudget(long start, List<Long> sends) {
         assertTrue(sends.size() > 8, "it is warmed: " + sends.size());
