Tell collections, compiling and processor time beside a late loop, and late answers' steps

The line of a late beat (over 100 ms, one a second at most) now gives collections by collector, compiling, classes loaded, processor time of the loop and of the process, and the longest piece of work by its name, all since the beat before. A request that is over 100 ms after its time is logged with its id and its attempts' times and outcomes.

--- a/src/main/java/rushproxy/sidecar/Decisions.java
+++ b/src/main/java/rushproxy/sidecar/Decisions.java
@@ -14,23 +14,32 @@
     private final ArrayDeque<Runnable> calls = new ArrayDeque<>();
     private final ArrayDeque<Runnable> actions = new ArrayDeque<>();
     private Balancer module;
+    private final Clock clock;
+    private final Vitals vitals;
     private boolean running;
 
+    Decisions(Clock clock, Vitals vitals) {
+        this.clock = clock;
+        this.vitals = vitals;
+    }
+
     /** {@code build} makes the module, which may act from its constructor on. */
     void start(Function<Balancer.Actions, Balancer> build, Balancer.Actions hands) {
         calls.add(() -> module = build.apply(later(hands)));
         run();
     }
 
-    /** {@code broken} runs where the module could not take the call. */
-    void call(Consumer<Balancer> call, Runnable broken) {
+    /** {@code event} names the call in the log; {@code broken} runs where the module could not take it. */
+    void call(String event, Consumer<Balancer> call, Runnable broken) {
         calls.add(() -> {
+            long begunUs = clock.now();
             try {
                 call.accept(module);
             } catch (RuntimeException e) {
                 Log.trouble("the module failed", e);
                 actions.add(broken);
             }
+            vitals.did(event, begunUs);
         });
         if (!running) {
             run();
@@ -43,11 +52,13 @@
             for (Runnable call; (call = calls.poll()) != null; ) {
                 call.run();
                 for (Runnable action; (action = actions.poll()) != null; ) {
+                    long begunUs = clock.now();
                     try {
                         action.run();
                     } catch (RuntimeException e) {
                         Log.trouble("an action failed", e);
                     }
+                    vitals.did("carrying out a decision", begunUs);
                 }
             }
         } finally {
--- a/src/main/java/rushproxy/sidecar/Exchange.java
+++ b/src/main/java/rushproxy/sidecar/Exchange.java
@@ -44,6 +44,19 @@
         this.answer = answer;
     }
 
+    /** What became of it, for the log: its steps with their times in milliseconds after it was taken. */
+    String story(long now) {
+        StringBuilder text = new StringBuilder(request.id()).append(" was over ").append((now - deadlineUs) / 1000)
+                .append(" ms after its time, ").append((now - takenUs) / 1000).append(" after it was taken:");
+        for (Upstreams.Call c : attempts) {
+            text.append(' ').append(c.upstream).append(" at ").append((c.sentUs - takenUs) / 1000);
+            if (c.ended()) {
+                text.append(' ').append(c.outcome()).append(" at ").append((c.endedUs() - takenUs) / 1000);
+            }
+        }
+        return attempts.isEmpty() ? text.append(" no attempt").toString() : text.toString();
+    }
+
     boolean settled() {
         return over && noneOut();
     }
--- a/src/main/java/rushproxy/sidecar/Peers.java
+++ b/src/main/java/rushproxy/sidecar/Peers.java
@@ -56,7 +56,7 @@
                 return;
             }
             byte[] message = ByteBufUtil.getBytes(packet.content());
-            decisions.call(m -> m.onPeer(clock.now(), number, message), () -> { });
+            decisions.call("a peer's word", m -> m.onPeer(clock.now(), number, message), () -> { });
         }
 
         /** The network says of an earlier datagram that nobody was there: no reason to stop listening. */
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -18,6 +18,9 @@
     /** The module answers at the deadline, when attempts time out; what it has not by then is answered here. */
     private static final long OVERDUE_US = 2_000;
 
+    /** An answer so long after its time is a fault to be looked into, here or of the machine. */
+    private static final long LATE_US = 100_000;
+
     private final EventLoop loop;
     private final Clock clock;
     private final Decisions decisions;
@@ -50,7 +53,7 @@
         totals.taken(x.request.requestClass());
         open.put(x.request.id(), x);
         x.overdue = loop.schedule(() -> overdue(x), x.deadlineUs + OVERDUE_US - clock.now(), TimeUnit.MICROSECONDS);
-        decisions.call(m -> m.onRequest(clock.now(), x.request), () -> fail(x));
+        decisions.call("a request", m -> m.onRequest(clock.now(), x.request), () -> fail(x));
     }
 
     /** The client has left: nothing is owed any more, and what an upstream already has ends by itself. */
@@ -70,7 +73,7 @@
     }
 
     private void expired(Exchange x) {
-        decisions.call(m -> m.onExpired(clock.now(), x.request.id()), () -> { });
+        decisions.call("a client that left", m -> m.onExpired(clock.now(), x.request.id()), () -> { });
     }
 
     /** After a call that broke off: what the module held may be forgotten, so it is answered now. */
@@ -122,7 +125,7 @@
         }
         forgetIfSettled(x);
         long now = clock.now();
-        decisions.call(m -> m.onOutcome(now, x.request.id(), number, call.upstream, outcome, now - call.sentUs, x.over,
+        decisions.call("an outcome", m -> m.onOutcome(now, x.request.id(), number, call.upstream, outcome, now - call.sentUs, x.over,
                 report), () -> failUnlessOut(x));
     }
 
@@ -165,6 +168,10 @@
     /** An attempt whose connection is still coming up would be sent on for nobody, as late as that takes. */
     private void finish(Exchange x) {
         x.over = true;
+        long now = clock.now();
+        if (now - x.deadlineUs > LATE_US) {
+            Log.line(x.story(now));
+        }
         x.overdue.cancel(false);
         x.attempts.forEach(Upstreams.Call::withdraw);
         forgetIfSettled(x);
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -30,10 +30,11 @@
 
     private final Config config;
     private final Module module;
+    private final Clock clock = new Clock();
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
-    private final Clock clock = new Clock();
-    private final Decisions decisions = new Decisions();
+    private final Vitals vitals = new Vitals(clock);
+    private final Decisions decisions = new Decisions(clock, vitals);
     private final Totals totals = new Totals();
     private final Upstreams upstreams;
     private final Requests requests;
@@ -144,12 +145,18 @@
 
     private void beat() {
         long now = clock.now();
-        totals.lag(now - beatAtUs - BEAT_MS * 1000);
+        long lagUs = now - beatAtUs - BEAT_MS * 1000;
+        totals.lag(lagUs);
         beatAtUs = now;
+        String late = vitals.beat(lagUs);
+        if (late != null) {
+            Log.line(late);
+        }
         if (++beats % BEATS == 0) {
             String line = totals.line(requests.open(), clients.open(), upstreams.open());
             if (line != null) {
                 Log.line(line);
+                vitals.did("the line of totals", now);
             }
         }
     }
@@ -209,7 +216,7 @@
         @Override
         public void probe(String upstream) {
             upstreams.start(new Upstreams.Call(upstream, clock.now() + PROBE_US, true, left -> probe(),
-                    (call, outcome, report, body) -> decisions.call(m -> m.onProbe(clock.now(), upstream, outcome,
+                    (call, outcome, report, body) -> decisions.call("a probe", m -> m.onProbe(clock.now(), upstream, outcome,
                             clock.now() - call.sentUs, report), () -> { })));
         }
 
@@ -234,7 +241,7 @@
 
         @Override
         public void timer(String mark, long delayUs) {
-            loop.schedule(() -> decisions.call(m -> m.onTimer(clock.now(), mark), requests::failHeld), delayUs,
+            loop.schedule(() -> decisions.call("a timer", m -> m.onTimer(clock.now(), mark), requests::failHeld), delayUs,
                     TimeUnit.MICROSECONDS);
         }
 
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -47,11 +47,15 @@
         private final Result result;
         private final boolean reportInBody;
         long sentUs;
+        /** Null before it was started. */
+        private Clock clock;
         private Target target;
         private Channel channel;
         private Future<?> timeout;
         private boolean written;
-        private boolean ended;
+        /** Null while it is out. */
+        private Outcome outcome;
+        private long endedUs;
 
         Call(String upstream, long untilUs, boolean reportInBody, LongFunction<FullHttpRequest> message,
              Result result) {
@@ -68,7 +72,15 @@
         }
 
         boolean ended() {
-            return ended;
+            return outcome != null;
+        }
+
+        Outcome outcome() {
+            return outcome;
+        }
+
+        long endedUs() {
+            return endedUs;
         }
 
         /** Whether the last byte of the message is out. */
@@ -76,20 +88,21 @@
             return written;
         }
 
-        void end(Outcome outcome, LoadReport report, ByteBuf body) {
-            if (ended) {
+        void end(Outcome how, LoadReport report, ByteBuf body) {
+            if (ended()) {
                 return;
             }
-            ended = true;
+            outcome = how;
+            endedUs = clock == null ? sentUs : clock.now();
             if (timeout != null) {
                 timeout.cancel(false);
             }
-            result.ended(this, outcome, report, body);
+            result.ended(this, how, report, body);
         }
 
         /** Ends a call that gets no answer any more: a late one must find nobody, so its connection goes. */
         private void abandon(Outcome outcome) {
-            if (!ended) {
+            if (!ended()) {
                 if (channel != null) {
                     channel.close();
                 }
@@ -232,6 +245,7 @@
     void start(Call call) {
         long now = clock.now();
         call.sentUs = now;
+        call.clock = clock;
         call.target = targets.get(call.upstream);
         if (call.target == null || call.target.state != UpstreamState.READY) {
             call.end(Outcome.NOT_SENT, null, null);
@@ -289,7 +303,7 @@
             } else {
                 connections--;
             }
-            if (call.ended) {
+            if (call.ended()) {
                 call.channel.close();
             } else if (!f.isSuccess()) {
                 call.broke();
--- a/src/test/java/rushproxy/sidecar/RequestsTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestsTest.java
@@ -1,6 +1,7 @@
 package rushproxy.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
@@ -31,7 +32,7 @@
     @BeforeEach
     void start() throws Exception {
         loop.submit(() -> {
-            Decisions decisions = new Decisions();
+            Decisions decisions = new Decisions(clock, new Vitals(clock));
             decisions.start(out -> (Balancer) Proxy.newProxyInstance(getClass().getClassLoader(),
                     new Class<?>[] {Balancer.class}, (self, method, arguments) -> {
                         told.add(method.getName() + (method.getName().equals("onOutcome")
@@ -106,4 +107,22 @@
             assertEquals(1, up.messages.size(), "a request was sent on for nobody");
         }
     }
+
+    /** Who looks for a lost request finds its steps under its id. */
+    @Test
+    void whatIsAnsweredLongAfterItsTimeTellsItsSteps() throws Exception {
+        try (Peer up = new Peer((m, line) -> line.answer("500 No", "", ""))) {
+            loop.submit(() -> upstreams.update(UpstreamList.of(Json.parse(Rig.list(1, true,
+                    Rig.entry("u0", up.address(), "Ready", 0)).getBytes(StandardCharsets.UTF_8))))).sync();
+            Exchange x = exchange("late");
+            loop.execute(() -> {
+                requests.take(x);
+                requests.send("late", "u0", 0);
+            });
+            await("onOutcome late ERROR false");
+            String story = loop.submit(() -> x.story(x.deadlineUs + 250_000)).get();
+            assertTrue(story.matches("late was over 250 ms after its time, \\d+ after it was taken:"
+                    + " u0 at \\d+ ERROR at \\d+"), story);
+        }
+    }
 }
