Begin attempts only behind a whole reading of the sockets, so never for who has left

Cause: a client's request and its end (FIN or RST) that wait together in a socket, in the backlog or behind a loop that is late are read in two turns of the loop, as a read that does not fill its buffer ends the reading; and within one turn the first ready socket decides: an upstream's failure or a connection that came up began an attempt before the client's end, which had been there as long, was read.

Change: reads from clients go on to the end of what is there (64 at most), and whatever begins an attempt, on a kept connection, a new one, or one that came up, waits behind the ends that the same reading found; where that reading began over 25 ms ago, behind one more, without a wait (Turns).

Ruled out: requests held in the module and those sent ahead, which were withdrawn already.

--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -1,6 +1,7 @@
 package rushproxy.sidecar;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelConfig;
 import io.netty.channel.ChannelInitializer;
@@ -27,6 +28,8 @@
     /** A connection this young or this busy may have a request on its way. */
     private static final long QUIET_MS = 150;
     private static final long LOOK_MS = 20;
+    /** Reads in a row from one connection: all that clients send ahead, and the end that stands behind it. */
+    private static final int READS = 64;
     private static final long SWEEP_MS = 100;
     /** Its first request may still be on its way. */
     private static final long FRESH_US = 50_000;
@@ -86,6 +89,9 @@
                 .option(ChannelOption.SO_BACKLOG, 256)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                // A short read is no end of what there is: behind it may stand the end of the connection.
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator()
+                        .respectMaybeMoreData(false).maxMessagesPerRead(READS))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -31,7 +31,9 @@
     private final Config config;
     private final Module module;
     private final Clock clock = new Clock();
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Turns turns = new Turns(clock);
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, turns.over(NioIoHandler.newFactory()));
     private final EventLoop loop = group.next();
     private final Vitals vitals = new Vitals(clock);
     private final Decisions decisions = new Decisions(clock, vitals);
@@ -64,7 +66,8 @@
         int fromClients = most * 5 / 8;
         // A quarter of that third for connections between requests: the rest is for requests in progress.
         int spare = config.sockets() / 12;
-        upstreams = new Upstreams(loop, clock, settings.limits().connIdleUs(), Upstreams.REST_US,
+        turns.of(loop);
+        upstreams = new Upstreams(loop, clock, turns, settings.limits().connIdleUs(), Upstreams.REST_US,
                 settings.limits().dialTimeoutUs(), stallUs(settings), () -> most - openFromClients(), totals);
         requests = new Requests(loop, clock, decisions, upstreams, settings.limits().maxAttempts(), totals);
         discovery = new Discovery(loop, clock, decisions, upstreams, config.discovery(), config.known().generation(),
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -155,6 +155,7 @@
 
     private final EventLoop loop;
     private final Clock clock;
+    private final Turns turns;
     private final long idleUs;
     private final long restUs;
     /** How many connections may be open now: what others leave of the descriptors. */
@@ -164,10 +165,11 @@
     private final Map<String, Target> targets = new HashMap<>();
     private int connections;
 
-    Upstreams(EventLoop loop, Clock clock, long connIdleUs, long restUs, long dialTimeoutUs, long stallUs,
-              IntSupplier maxConnections, Totals totals) {
+    Upstreams(EventLoop loop, Clock clock, Turns turns, long connIdleUs, long restUs, long dialTimeoutUs,
+              long stallUs, IntSupplier maxConnections, Totals totals) {
         this.loop = loop;
         this.clock = clock;
+        this.turns = turns;
         this.maxConnections = maxConnections;
         this.totals = totals;
         this.restUs = restUs;
@@ -252,15 +254,31 @@
             return;
         }
         call.timeout = loop.schedule(call::timedOut, call.untilUs - now, TimeUnit.MICROSECONDS);
-        Channel channel = takeIdle(call.target, now);
-        if (channel != null) {
-            call.channel = channel;
-            write(call);
-        } else {
-            connect(call);
+        turns.onceRead(() -> begin(call));
+    }
+
+    /** Unless it was withdrawn, or its upstream changed, while what else had come was read. */
+    private void begin(Call call) {
+        if (mayBegin(call)) {
+            Channel channel = takeIdle(call.target, clock.now());
+            if (channel != null) {
+                call.channel = channel;
+                write(call);
+            } else {
+                connect(call);
+            }
         }
     }
 
+    /** False where it is over, or ends here: the list changed or time ran out, and nothing may be sent any more. */
+    private boolean mayBegin(Call call) {
+        boolean ready = call.target.state == UpstreamState.READY;
+        if (!call.ended() && (!ready || clock.now() >= call.untilUs)) {
+            call.abandon(ready ? Outcome.CONNECT_FAILED : Outcome.NOT_SENT);
+        }
+        return !call.ended();
+    }
+
     /** The most recently used first of those that have rested, so that the others grow old enough to be dropped. */
     private Channel takeIdle(Target t, long now) {
         for (Iterator<Channel> i = t.idle.iterator(); i.hasNext(); ) {
@@ -307,11 +325,12 @@
                 call.channel.close();
             } else if (!f.isSuccess()) {
                 call.broke();
-            } else if (call.target.state != UpstreamState.READY || clock.now() >= call.untilUs) {
-                // The list changed or time ran out while the connection came up: nothing may be sent any more.
-                call.abandon(call.target.state != UpstreamState.READY ? Outcome.NOT_SENT : Outcome.CONNECT_FAILED);
             } else {
-                write(call);
+                turns.onceRead(() -> {
+                    if (mayBegin(call)) {
+                        write(call);
+                    }
+                });
             }
         });
     }
--- a/src/test/java/rushproxy/sidecar/RequestsTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestsTest.java
@@ -39,7 +39,8 @@
                                 ? " " + arguments[1] + " " + arguments[4] + " " + arguments[6] : ""));
                         return null;
                     }), null);
-            upstreams = new Upstreams(loop, clock, 15_000_000, 0, 2_000_000, 20_000, () -> 100, new Totals());
+            Turns turns = Rig.turns(loop, clock);
+            upstreams = new Upstreams(loop, clock, turns, 15_000_000, 0, 2_000_000, 20_000, () -> 100, new Totals());
             requests = new Requests(loop, clock, decisions, upstreams, 4, new Totals());
         }).sync();
     }
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -1,5 +1,6 @@
 package rushproxy.sidecar;
 
+import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -26,6 +27,13 @@
              "load_info":{"how":"inline","fields":["busy_reqs","pending","cpu_share"]},
              "something_new":{"a":[{"b":null}]}}""";
 
+    /** Of a loop whose readings nobody notes: what is to begin waits for as many as it ever does. */
+    static Turns turns(EventLoop loop, Clock clock) {
+        Turns turns = new Turns(clock);
+        turns.of(loop);
+        return turns;
+    }
+
     /** What the module does with a request. */
     interface OnRequest {
         void take(long now, Balancer.Request request, Balancer.Actions out);
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -38,7 +38,7 @@
     }
 
     private Upstreams upstreams(long idleUs, int most, long restUs) throws Exception {
-        return loop.submit(() -> new Upstreams(loop, clock, idleUs, restUs, 2_000_000, 20_000, () -> most, new Totals()))
+        return loop.submit(() -> new Upstreams(loop, clock, Rig.turns(loop, clock), idleUs, restUs, 2_000_000, 20_000, () -> most, new Totals()))
                 .get();
     }
 
