Ask for the list again within 1.5 s of a failed call, however often it failed before

Cause: where lists are asked for, the pause after a failure doubled up to half of ask_every and was jittered up to three halves of that: 7.5 s at 10 s. With a call that was given up just before, a change was asked for up to 10 s after discovery could be reached; it counts as told after 6.

Change: the pause before jitter is 1 s at most, so that a call given up at the return (2.5 s) and the pause (1.5 s) leave 2 s for the answer.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -64,7 +64,9 @@
     private static final double MISSING = 6;
     /** Second copies for this part of the requests, and most saved up for a bad moment: they cost. */
     private static final double COPIES = 0.05, COPIES_MOST = 10;
-    private static final long ASK_FIRST_US = 500_000;
+    /** Pauses after failed calls to discovery, half as much more or less: a change counts as told 6 s after
+     * it could be reached again (STANDING), and a call given up just then has taken 2.5 s of them. */
+    private static final long ASK_FIRST_US = 500_000, ASK_MOST_US = 1_000_000;
     /** A probe not answered for this long may be sent again. */
     private static final long PROBE_US = 100_000;
     /** Draws in want of room before all are looked through; pairs asked before a short queue will do. */
@@ -1069,7 +1071,7 @@
         subscribed = kind != ListKind.FAILED;
         // Jittered, so that instances that failed together do not ask together again.
         if (!subscribed) out.timer("ask", askDelay / 2 + random.nextLong(askDelay));
-        askDelay = subscribed ? ASK_FIRST_US : Math.min(askDelay * 2, cfg.rules().askEveryUs() / 2 + 1);
+        askDelay = subscribed ? ASK_FIRST_US : Math.min(askDelay * 2, Math.min(ASK_MOST_US, cfg.rules().askEveryUs() / 2 + 1));
     }
 
     // ---- peers ----------------------------------------------------------------------------------
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -1002,6 +1002,25 @@
 
     // ---- determinism and isolation --------------------------------------------------------------
 
+    /** A change counts as told 6 s after discovery could be reached: 2.5 s for a call given up just then are in it. */
+    @Test
+    void howeverLongDiscoveryWasAwayTheNextCallComesInTime() {
+        for (int seed = 0; seed < 20; seed++) {
+            Rig rig = new Rig();
+            rig.onRequest = true;
+            rig.seed = seed;
+            rig.start();
+            for (int failures = 0; failures < 30; failures++) {
+                rig.actions.clear();
+                rig.policy.onList(rig.now, ListKind.FAILED, List.of());
+                long pauseUs = Long.parseLong(rig.take("timer ask ").get(0).split(" ")[2]);
+                assertTrue(pauseUs >= 250_000 && pauseUs <= 1_500_000, "asks again after " + pauseUs + " us");
+                rig.after(pauseUs).fire("ask");
+                assertEquals(1, rig.take("subscribe").size());
+            }
+        }
+    }
+
     private static void play(Rig rig, int from, int to) {
         for (int i = from; i < to; i++) {
             rig.after(3_000).request("r" + i);
