--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -1071,7 +1071,8 @@
         subscribed = kind != ListKind.FAILED;
         // Jittered, so that instances that failed together do not ask together again.
         if (!subscribed) out.timer("ask", askDelay / 2 + random.nextLong(askDelay));
-        askDelay = subscribed ? ASK_FIRST_US : Math.min(askDelay * 2, Math.min(ASK_MOST_US, cfg.rules().askEveryUs() / 2 + 1));
+        long most = Math.min(ASK_MOST_US, cfg.rules().askEveryUs() / 2 + 1);
+        askDelay = subscribed ? ASK_FIRST_US : Math.min(askDelay * 2, most);
     }
 
     // ---- peers ----------------------------------------------------------------------------------
