Count a request's time from its last byte, as PROTOCOL says, not from its first

Cause: the deadline was reckoned from the first byte read of a request.

The test fails without the change (1 us left of 200 ms).

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -91,7 +91,7 @@
         activeUs = openedUs;
     }
 
-    /** Stands before the decoder: a request's time runs from its first byte, and half of one is no quiet. */
+    /** Stands before the decoder: half a request is no quiet, and what does not come whole in time is given up. */
     ChannelInboundHandler arrivals() {
         return new ChannelInboundHandlerAdapter() {
             @Override
@@ -122,8 +122,8 @@
             return;
         }
         asked = true;
-        // Where several came in one read, the first has used up its start: the others began with the read too.
-        Arrival arrival = new Arrival((FullHttpRequest) message, readingSinceUs == 0 ? activeUs : readingSinceUs);
+        // Its time counts from its last byte, which came with this read.
+        Arrival arrival = new Arrival((FullHttpRequest) message, activeUs);
         readingSinceUs = 0;
         ahead.add(arrival);
         aheadBytes += arrival.bytes();
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -169,7 +169,8 @@
     private void finish(Exchange x) {
         x.over = true;
         long now = clock.now();
-        if (now - x.deadlineUs > LATE_US) {
+        // One whose time was up behind others of its connection, sent ahead, was late before it was taken.
+        if (now - x.deadlineUs > LATE_US && x.takenUs < x.deadlineUs) {
             Log.line(x.story(now));
         }
         x.overdue.cancel(false);
--- a/src/test/java/rushproxy/sidecar/RequestLifeTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestLifeTest.java
@@ -274,4 +274,22 @@
             }
         }
     }
+
+    /** PROTOCOL, Figures: time for a request counts from its last byte, however slowly its client wrote it. */
+    @Test
+    void theTimeOfARequestCountsFromItsLastByte() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.onRequest = (now, r, out) -> out.fail(r.id());
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                String text = Rig.get("slow", 200);
+                client.send(text.substring(0, text.length() / 2));
+                Thread.sleep(250);
+                client.send(text.substring(text.length() / 2));
+                assertEquals(502, client.status());
+                long leftUs = Long.parseLong(rig.await("request slow ").split(" ")[2]);
+                assertTrue(leftUs > 100_000, "its client still waits for 200 ms, told were " + leftUs + " us");
+            }
+        }
+    }
 }
