Hold the budget of cold servers over the sum of 20, 30 and 100 processes in a test of hollow fleets

Hollow fleets are many real modules on one virtual clock, with models of check servers, clients, discovery and peers around them. Asked: is the budget of a cold server kept over the sum of all processes, with unequal traffic, lists up to 4.6 s apart, processes that are restarted and servers that restart under the same id? Nothing was broken, so no mend.

--- /dev/null
+++ b/src/main/java/rushproxy/hollow/HollowFleet.java
@@ -0,0 +1,133 @@
+package rushproxy.hollow;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import rushproxy.Balancer.Upstream;
+import rushproxy.Balancer.UpstreamState;
+
+/** Sidecars, servers, their clients, discovery and the datagrams between peers, on one clock and from one seed. */
+final class HollowFleet {
+    private static final long START_US = 1_000_000_000L;
+    private static final long WORD_US = 2_000;
+    /** Of the worthier class; the rest are of the other. */
+    private static final double SUBMITS = 0.7;
+
+    private final Shape shape;
+    private final Timeline timeline = new Timeline(START_US);
+    private final SplittableRandom random;
+    private final List<HollowServer> servers = new ArrayList<>();
+    private final List<HollowSidecar> sidecars = new ArrayList<>();
+    private long taken;
+    private long served;
+    private long refused;
+    private long failed;
+    private long words;
+    private long wordBytes;
+
+    HollowFleet(Shape shape) {
+        this.shape = shape;
+        random = new SplittableRandom(shape.seed());
+        for (int i = 0; i < shape.servers(); i++) {
+            servers.add(new HollowServer("s" + i));
+        }
+        List<Upstream> list = list();
+        for (int i = 0; i < shape.sidecars(); i++) {
+            sidecars.add(new HollowSidecar(this, i));
+            sidecars.get(i).start(list);
+            arrive(i);
+        }
+    }
+
+    Shape shape() {
+        return shape;
+    }
+
+    long now() {
+        return timeline.now();
+    }
+
+    /** Plays so many more seconds and returns the number of events. */
+    long play(double seconds) {
+        return timeline.playTo(now() + (long) (seconds * 1e6));
+    }
+
+    void after(long delayUs, Runnable run) {
+        timeline.after(delayUs, run);
+    }
+
+    private List<Upstream> list() {
+        return servers.stream().map(s -> s.entry(UpstreamState.READY)).toList();
+    }
+
+    private void arrive(int sidecar) {
+        double gapUs = -Math.log(1 - random.nextDouble()) * 1e6 / shape.rate(sidecar);
+        timeline.after((long) gapUs, () -> {
+            taken++;
+            sidecars.get(sidecar).request(random.nextDouble() < SUBMITS ? "submit" : "issue");
+            arrive(sidecar);
+        });
+    }
+
+    /** The server's process is another one from now on, under its id; each sidecar is told in its own time. */
+    void restartServer(int server) {
+        servers.get(server).restart(now());
+        Upstream entry = servers.get(server).entry(UpstreamState.READY);
+        for (HollowSidecar s : sidecars) {
+            timeline.after((long) (random.nextDouble() * shape.listDelayUs()), () -> s.changed(entry));
+        }
+    }
+
+    void restartSidecar(int sidecar) {
+        sidecars.get(sidecar).start(list());
+    }
+
+    /** Takes a request to the server and returns when it is answered. */
+    long serve(String server) {
+        double work = -Math.log(1 - random.nextDouble()) * Shape.WORK_US;
+        return servers.get(Integer.parseInt(server.substring(1))).take(now(), work);
+    }
+
+    void tell(int from, int to, byte[] word) {
+        for (int i = Math.max(0, to); i < (to < 0 ? shape.sidecars() : to + 1); i++) {
+            if (i == from) {
+                continue;
+            }
+            words++;
+            wordBytes += word.length;
+            if (random.nextDouble() >= shape.lostWords()) {
+                HollowSidecar peer = sidecars.get(i);
+                timeline.after(WORD_US, () -> peer.heard(from, word));
+            }
+        }
+    }
+
+    void served(long atUs) {
+        served++;
+    }
+
+    void refused() {
+        refused++;
+    }
+
+    void failed() {
+        failed++;
+    }
+
+    long taken() {
+        return taken;
+    }
+
+    /** The part of what was taken so far that was served within its time. */
+    double servedPart() {
+        return served / (double) Math.max(1, taken);
+    }
+
+    double refusedPart() {
+        return refused / (double) Math.max(1, taken);
+    }
+
+    List<HollowServer> servers() {
+        return servers;
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/hollow/HollowServer.java
@@ -0,0 +1,90 @@
+package rushproxy.hollow;
+
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import rushproxy.Balancer.Upstream;
+import rushproxy.Balancer.UpstreamState;
+
+/** A check server: cores with one queue, cold after its start, and a count of what comes to it while it is. */
+final class HollowServer {
+    private final String id;
+    private final double[] freeAt = new double[Shape.CORES];
+    private final ArrayDeque<Long> coldSends = new ArrayDeque<>();
+    private long startedUs;
+    private double worstOver = Double.NEGATIVE_INFINITY;
+    private double worstBeyondChance = Double.NEGATIVE_INFINITY;
+    private long sentCold;
+    private double couldCold;
+    private long countedUs;
+
+    HollowServer(String id) {
+        this.id = id;
+    }
+
+    Upstream entry(UpstreamState state) {
+        return new Upstream(id, "za", "k", 1, startedUs, 1, state);
+    }
+
+    /** A new process under the same id, with nothing to do, and cold. */
+    void restart(long now) {
+        startedUs = now;
+        countedUs = now;
+        Arrays.fill(freeAt, now);
+        coldSends.clear();
+    }
+
+    private double warmth(double now) {
+        return startedUs == 0 ? 1 : Math.min(1, Shape.COLD_SHARE + (1 - Shape.COLD_SHARE) * (now - startedUs) / Shape.RAMP_US);
+    }
+
+    boolean cold(long now) {
+        return warmth(now) < 1;
+    }
+
+    /** Takes a request of so much work and returns when it is done. */
+    long take(long now, double workUs) {
+        int core = 0;
+        for (int i = 1; i < freeAt.length; i++) {
+            core = freeAt[i] < freeAt[core] ? i : core;
+        }
+        double start = Math.max(now, freeAt[core]);
+        freeAt[core] = start + workUs / warmth(start);
+        if (cold(now)) {
+            count(now);
+        }
+        return (long) freeAt[core];
+    }
+
+    /** N is what the settings allow at the window's start, when it could do least. */
+    private void count(long now) {
+        sentCold++;
+        couldCold += warmth(now) * Shape.CORES / Shape.WORK_US * (now - countedUs);
+        countedUs = now;
+        coldSends.add(now);
+        while (coldSends.peek() <= now - Shape.FALL_US) {
+            coldSends.poll();
+        }
+        double n = Shape.FALL_MULTIPLE * warmth(coldSends.peek()) * Shape.CORES * Shape.FALL_US / Shape.WORK_US;
+        worstOver = Math.max(worstOver, coldSends.size() - n);
+        worstBeyondChance = Math.max(worstBeyondChance, coldSends.size() - n - 2 * Math.sqrt(n) - 2);
+    }
+
+    /** Most requests in a window beyond N, what the settings allow; negative where it stayed below. */
+    double worstOver() {
+        return worstOver;
+    }
+
+    /** The same beyond N + 2 x root of N + 2, from which a server falls. */
+    double worstBeyondChance() {
+        return worstBeyondChance;
+    }
+
+    long sentCold() {
+        return sentCold;
+    }
+
+    /** Requests that it could have served while cold, up to the last one sent. */
+    double couldCold() {
+        return couldCold;
+    }
+}
--- /dev/null
+++ b/src/main/java/rushproxy/hollow/HollowSidecar.java
@@ -0,0 +1,149 @@
+package rushproxy.hollow;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import rushproxy.Balancer;
+import rushproxy.Balancer.ListKind;
+import rushproxy.Balancer.Outcome;
+import rushproxy.Balancer.Request;
+import rushproxy.Balancer.Upstream;
+import rushproxy.Policy;
+
+/** One real module and what stands for its process: nothing but the carrying of its decisions to the models. */
+final class HollowSidecar implements Balancer.Actions {
+    private final HollowFleet fleet;
+    private final int me;
+    private final Map<String, Integer> attempts = new HashMap<>();
+    private final List<Runnable> decided = new ArrayList<>();
+    private Policy module;
+    private boolean deciding;
+    /** Timers and answers of a process that has ended find another number here. */
+    private int process;
+    private long requests;
+
+    HollowSidecar(HollowFleet fleet, int me) {
+        this.fleet = fleet;
+        this.me = me;
+    }
+
+    /** A new process: it knows the list that its start brings and nothing else. */
+    void start(List<Upstream> known) {
+        process++;
+        attempts.clear();
+        decide(() -> {
+            module = new Policy(fleet.shape().settings(me), fleet.shape().seed() * 1_000_003 + me * 31L + process,
+                    fleet.now(), this);
+            module.onList(fleet.now(), ListKind.FULL, known);
+        });
+    }
+
+    void changed(Upstream entry) {
+        decide(() -> module.onList(fleet.now(), ListKind.DELTA, List.of(entry)));
+    }
+
+    void heard(int peer, byte[] word) {
+        decide(() -> module.onPeer(fleet.now(), peer, word));
+    }
+
+    void request(String requestClass) {
+        String id = me + "-" + process + "-" + requests++;
+        attempts.put(id, 0);
+        decide(() -> module.onRequest(fleet.now(),
+                new Request(id, -1, false, false, 0, Shape.DEADLINE_US, null, requestClass)));
+    }
+
+    /** No action re-enters the module: what it decides is carried out when it has returned. */
+    private void decide(Runnable event) {
+        boolean outermost = !deciding;
+        deciding = true;
+        event.run();
+        if (outermost) {
+            for (int i = 0; i < decided.size(); i++) {
+                decided.get(i).run();
+            }
+            decided.clear();
+            deciding = false;
+        }
+    }
+
+    private void later(long delayUs, Runnable run) {
+        int mine = process;
+        fleet.after(delayUs, () -> {
+            if (process == mine) {
+                decide(run);
+            }
+        });
+    }
+
+    @Override
+    public void send(String request, String upstream, long untilUs) {
+        decided.add(() -> {
+            int number = attempts.merge(request, 1, Integer::sum) - 1;
+            long sentUs = fleet.now();
+            long doneUs = fleet.serve(upstream);
+            boolean late = doneUs > untilUs;
+            long endUs = late ? untilUs : doneUs;
+            later(endUs - sentUs, () -> {
+                if (!late) {
+                    over(request);
+                    fleet.served(endUs);
+                }
+                module.onOutcome(fleet.now(), request, number, upstream, late ? Outcome.TIMEOUT : Outcome.OK, endUs - sentUs,
+                        !late, null);
+            });
+        });
+    }
+
+    private void over(String request) {
+        attempts.remove(request);
+    }
+
+    @Override
+    public void refuse(String request, long retryAfterUs) {
+        over(request);
+        fleet.refused();
+    }
+
+    @Override
+    public void fail(String request) {
+        over(request);
+        fleet.failed();
+    }
+
+    @Override
+    public void tell(int peer, byte[] message) {
+        fleet.tell(me, peer, message);
+    }
+
+    @Override
+    public void timer(String mark, long delayUs) {
+        later(delayUs, () -> module.onTimer(fleet.now(), mark));
+    }
+
+    @Override
+    public void cancel(String request, int attempt) {
+        // The module calls nothing off where the servers tell no load.
+    }
+
+    @Override
+    public void probe(String upstream) {
+        // Not allowed by these settings.
+    }
+
+    @Override
+    public void subscribe() {
+        // Lists are pushed by these settings.
+    }
+
+    @Override
+    public void close(String upstream) {
+        // No connections here.
+    }
+
+    @Override
+    public void log(String text) {
+        // For operators of real processes.
+    }
+}
--- /dev/null
+++ b/src/test/java/rushproxy/hollow/ColdBudgetTest.java
@@ -0,0 +1,37 @@
+package rushproxy.hollow;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * STANDING: a cold server falls from N + 2 x root of N + 2 requests in a window on, over the sum of all processes. The
+ * sidecars are told of a start up to 4.6 s apart, some are restarted meanwhile, and traffic is unequal.
+ */
+class ColdBudgetTest {
+    @ParameterizedTest
+    @CsvSource({"20, 12", "30, 20", "100, 60"})
+    void allProcessesTogetherStayInsideTheBudgetOfEachColdServer(int sidecars, int servers) {
+        for (long seed = 1; seed <= 3; seed++) {
+            HollowFleet fleet = new HollowFleet(new Shape(sidecars, servers, 0.6, 4, 4_600_000, 0.1, seed));
+            fleet.play(4);
+            double most = Double.NEGATIVE_INFINITY;
+            long sent = 0;
+            double could = 0;
+            for (int i = 0; i < servers / 2; i++) {
+                fleet.restartServer(i);
+                fleet.restartSidecar(i * 7 % sidecars);
+                fleet.play(4.0 / servers);
+            }
+            fleet.play(12);
+            for (HollowServer s : fleet.servers()) {
+                most = Math.max(most, s.worstBeyondChance());
+                sent += s.sentCold();
+                could += s.couldCold();
+            }
+            System.out.printf("%d sidecars, seed %d: over N+2rootN+2 by %.1f, sent %d of %.0f, served %.3f refused %.3f%n", sidecars, seed, most, sent, could, fleet.servedPart(), fleet.refusedPart());
+            assertTrue(most <= 0, "seed " + seed + ": " + most + " requests over the budget and chance");
+        }
+    }
+}
