Sum the weights of the own rate from the start, so that a first request at once is no flood

Cause: the own rate was averaged with a weight of 1 - 1/e for the first interval, however short. That rate sets the split, turns at cold servers and what words may cost.

Change: an exponential mean whose weights are summed from the start; a first short interval weighs what it lasts.

The test fails without it (8,191 told of ten a second). Ruled out: a least time of 0.1 s for the first interval, which errs low and broke the budget of a cold server (PolicyTest).

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -344,9 +344,11 @@
         }
     }
 
+    /** Weights fall by e in RATE_US; their sum so far counts, lest a first request at once be a flood. */
     private void measure(long now) {
         double passed = Math.max(1, now - rateAt);
-        double keep = Math.exp(-passed / Math.max(passed, Math.min(RATE_US, now - startedAt)));
+        double past = Math.exp((startedAt - rateAt) / RATE_US);
+        double keep = (1 - past) / (Math.exp(passed / RATE_US) - past);
         ownRate = keep * ownRate + (1 - keep) * arrivals * 1e6 / passed;
         arrivals = 0;
         rateAt = now;
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -542,6 +542,21 @@
         assertEquals("c", rig.sentTo("r1", 0));
     }
 
+    /** Clients wait for a sidecar that restarts: its first request comes at once, and the next as they always do. */
+    @Test
+    void aFirstRequestRightAfterTheStartTellsNobodyOfAFlood() {
+        Rig rig = new Rig();
+        rig.start().list(A, B);
+        rig.after(20).request("first");
+        for (int i = 0; i < 10; i++) {
+            rig.after(i == 0 ? 99_980 : 100_000).request("r" + i);
+            rig.fire("tell");
+            assertTrue(rig.lastWord != null && rig.lastWord.read(rig.lastBytes) && rig.lastWord.rate < 30,
+                    "ten a second, and told are " + rig.lastWord.rate);
+        }
+        assertEquals(10, rig.lastWord.rate, 3);
+    }
+
     /** An own request that waits behind those of 13 others tells of their number, not of a slow server. */
     @Test
     void timeSpentBehindOthersRequestsIsNotLearnedAsSlowness() {
--- a/src/test/java/rushproxy/Rig.java
+++ b/src/test/java/rushproxy/Rig.java
@@ -22,6 +22,8 @@
     final List<String> actions = new ArrayList<>();
     long now = 1_000_000_000L;
     Policy policy;
+    byte[] lastBytes;
+    PeerWord lastWord;
 
     Semantics semantics = Semantics.SAFE;
     Group group = Group.ALL;
@@ -129,6 +131,8 @@
     @Override
     public void tell(int peer, byte[] message) {
         actions.add("tell " + peer + " " + message.length);
+        lastBytes = message;
+        lastWord = new PeerWord(1);
     }
 
     @Override
