--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -368,7 +368,7 @@
     /** Of the ready servers, the fastest one's {@link Server#slow}. */
     private double bestSlow = 1;
 
-    /** Of the servers not left out: cores, be they cold, and requests a second that they serve. */
+    /** Of the servers not left out: cores as far as they are warm, and requests a second that they serve. */
     private double coresNow, capacity;
     /** Their shares, summed up. */
     private double shares;
@@ -443,7 +443,7 @@
             mu[i] = 1e6 * first.kind.cores * warmth(first, now) / (slow / k[i] * meanWork);
             for (Server s : groups.get(i)) {
                 if (now < s.ejectedUntil) continue;
-                coresNow += s.kind.cores * ready.size() / members.size();
+                coresNow += s.kind.cores * warmth(s, now) * ready.size() / members.size();
                 capacity += mu[i] * ready.size() / members.size();
             }
         }
@@ -603,7 +603,7 @@
     private boolean hasRoom(long now, Req r, Server s, boolean freeCore) {
         if (!panic && (mute(s, now) || now < s.ejectedUntil || s.ejections > 0 && s.own > 0)) return false;
         if (!maySend(now, r, s)) return false;
-        double cores = Math.max(1, s.kind.cores);
+        double cores = Math.max(1, s.kind.cores) * warmth(s, now);
         double load = load(s, now);
         if (freeCore) return load < Math.max(1, Math.round(cores)) - 0.5;
         return load + 1 <= Math.max(1, cores + CROWD * Math.sqrt(cores)) + (sampling ? 0.5 : 0.01)
@@ -652,7 +652,7 @@
     /** Requests of others on a server that tells no load, by its part of the warm cores, as far as told. */
     private double strangers(Server s, long now) {
         if (cfg.reports() != Reports.NONE || heard == 0 || coresNow <= 0 || now < s.ejectedUntil) return 0;
-        return (fleetHeld(now) - held(now)) * s.kind.cores / coresNow;
+        return (fleetHeld(now) - held(now)) * s.kind.cores * warmth(s, now) / coresNow;
     }
 
     /** The same for all sidecars, as far as they have told: the own part of a server's queue may be small. */
