Put all of a new configuration in force at SIGHUP: settings and peers too, checked whole

Cause: at SIGHUP the address of discovery was taken over and nothing else; every other change needed a restart.

Change: settings that differ from those in force are checked whole (SettingsCheck: classes, numbers, rules, limits, and that lists go on to come as they did), and a file that is wrong anywhere changes nothing and is named in the log. Then the module (Balancer.onSettings), attempts, connections, peers and classes change in one turn of the loop. Requests that are open keep their class and deadline; what was learned of servers stays. Addresses to listen on, seed and descriptors stay until a restart. Where the settings are the same, nothing is touched.

The log also tells where a start's time goes: Java machine, settings, sockets and module, rehearsal.

--- a/src/main/java/rushproxy/Balancer.java
+++ b/src/main/java/rushproxy/Balancer.java
@@ -95,6 +95,12 @@
         void log(String text);
     }
 
+    /**
+     * Other settings hold from now on, checked by the host. Requests that are open keep their class; how lists come
+     * ({@link Settings#discoveryOnRequest}) is the same as before.
+     */
+    void onSettings(long now, Settings settings);
+
     void onList(long now, ListKind kind, List<Upstream> entries);
 
     void onRequest(long now, Request request);
--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -81,50 +81,66 @@
 
     private static final long LOG_US = 5_000_000;
 
-    private final Settings cfg;
+    private Settings cfg;
     private final Actions out;
     private final SplittableRandom random;
     private final Map<String, RequestClass> classes = new HashMap<>();
-    private double topWorth;
+    private double topWorth, coresGuess;
     /** The shortest aim of the class of most worth: queues longer than that serve nobody in time. */
-    private long topAim = Long.MAX_VALUE;
-    private long longestUs;
+    private long topAim, longestUs;
     /** The two drawn servers are asked for their load by probes: the paper's sampled load itself. */
-    private final boolean sampling;
+    private boolean sampling;
     /** Connections and handshakes have a price: a sidecar keeps to a few servers of each kind. */
-    private final boolean subset;
+    private boolean subset;
     /** No load is told, and more sidecars than share a server: own requests say little of it. */
-    private final boolean blind;
-    private final double coresGuess;
-    private final int home;
+    private boolean blind;
+    private int home;
+    private boolean telling;
 
     public Policy(Settings settings, long seed, long now, Actions actions) {
-        cfg = settings;
         out = actions;
         random = new SplittableRandom(seed);
+        for (RequestClass c : settings.classes()) meanWork += c.aimUs() / 4.0 / settings.classes().size();
+        take(settings);
+        rateAt = startedAt = loggedAt = now;
+        solvedAt = now - RESOLVE_US;
+        if (cfg.discoveryOnRequest()) ask();
+    }
+
+    /** What was learned of servers and kinds stays, and open requests keep the class they came with. */
+    @Override
+    public void onSettings(long now, Settings settings) {
+        take(settings);
+        servers.values().forEach(s -> s.zone = Math.max(0, cfg.zones().indexOf(s.entry.zone())));
+        changed(now);
+    }
+
+    private void take(Settings settings) {
+        cfg = settings;
+        classes.clear();
+        topWorth = cfg.classes().stream().mapToDouble(RequestClass::worth).max().orElse(0);
         for (RequestClass c : cfg.classes()) {
-            classWork.put(c.name(), c.aimUs() / 4.0);
-            meanWork += c.aimUs() / 4.0 / cfg.classes().size();
+            classWork.putIfAbsent(c.name(), c.aimUs() / 4.0);
             classes.put(c.name(), c);
-            if (c.worth() > topWorth) topAim = Long.MAX_VALUE;
-            topWorth = Math.max(topWorth, c.worth());
-            if (c.worth() == topWorth) topAim = Math.min(topAim, c.aimUs());
-            longestUs = Math.max(longestUs, c.deadlineUs());
         }
+        topAim = cfg.classes().stream().filter(c -> c.worth() == topWorth).mapToLong(RequestClass::aimUs)
+                .min().orElse(0);
+        longestUs = cfg.classes().stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
+        // Numbers of other settings may be other sidecars': they tell again within a second.
         peers = new Peer[cfg.balancers()];
         zoneRate = new double[cfg.zones().size()];
-        Limits limits = cfg.limits();
-        sampling = limits.probing() && cfg.reports() != Reports.NONE && 2 * cfg.prices().probe() <= TOLL;
-        hedging = sampling && limits.secondCopies();
+        sampling = cfg.limits().probing() && cfg.reports() != Reports.NONE
+                && 2 * cfg.prices().probe() <= TOLL;
+        hedging = sampling && cfg.limits().secondCopies();
         subset = cfg.prices().connection() > 0 && cfg.prices().handshake() > 0;
-        if (limits.peers() && cfg.balancers() > 1) out.timer("tell", TELL_US / 2 + random.nextLong(TELL_US));
         blind = !sampling && cfg.balancers() > SHARERS;
         coresGuess = cfg.reports() == Reports.NONE ? CORES_GUESS : 1;
-        for (String k : cfg.kinds()) kinds.put(k, new Kind(coresGuess));
+        for (String k : cfg.kinds()) kinds.computeIfAbsent(k, x -> new Kind(coresGuess));
         home = Math.max(0, cfg.zones().indexOf(cfg.zone()));
-        rateAt = startedAt = loggedAt = now;
-        solvedAt = now - RESOLVE_US;
-        if (cfg.discoveryOnRequest()) ask();
+        if (!telling && cfg.limits().peers() && cfg.balancers() > 1) {
+            telling = true;
+            out.timer("tell", TELL_US / 2 + random.nextLong(TELL_US));
+        }
     }
 
     // ---- membership -----------------------------------------------------------------------------
@@ -146,7 +162,7 @@
             Server s = servers.get(u.id());
             if (s == null) {
                 Kind kind = kinds.computeIfAbsent(u.kind(), k -> new Kind(coresGuess));
-                s = new Server(u, kind, cfg.zones().indexOf(u.zone()), mix(u.id().hashCode(), 0));
+                s = new Server(u, kind, mix(u.id().hashCode(), 0));
                 servers.put(u.id(), s);
             } else if (u.startedUs() != s.entry.startedUs()) {
                 s.apart = 1;
@@ -154,6 +170,7 @@
                 s.ejectedUntil = s.usedAt = 0;
             }
             s.entry = u;
+            s.zone = Math.max(0, cfg.zones().indexOf(u.zone()));
             s.ready = u.state() == UpstreamState.READY;
             s.gone = u.state() == UpstreamState.GONE;
             closeIfLeaving(s);
@@ -165,6 +182,10 @@
             closeIfLeaving(s);
         }
         servers.values().removeIf(Policy::forgotten);
+        changed(now);
+    }
+
+    private void changed(long now) {
         ready.clear();
         servers.values().stream().filter(s -> s.ready).forEach(ready::add);
         if (subset) ready.sort(Comparator.comparingInt((Server s) -> s.order).thenComparing(s -> s.id));
@@ -173,6 +194,7 @@
         dispatch(now, false);
     }
 
+
     /** Ids are ever new where servers are replaced: one that is gone is kept for its last attempts alone. */
     private static boolean forgotten(Server s) {
         return s.gone && s.own == 0;
@@ -249,8 +271,7 @@
 
     // ---- estimators -----------------------------------------------------------------------------
     private final Map<String, Double> classWork = new HashMap<>();
-    private double meanWork;
-    private double ownRate;
+    private double meanWork, ownRate;
     private int arrivals;
     private long rateAt;
     private final long startedAt;
@@ -362,7 +383,7 @@
     }
 
     // ---- split ----------------------------------------------------------------------------------
-    private long solvedAt;
+    private long solvedAt, loggedAt;
     /** More than half the servers are left out: failures that hit all alike say little of any one. */
     private boolean panic;
     /** Of the ready servers, the fastest one's {@link Server#slow}. */
@@ -461,8 +482,6 @@
         }
     }
 
-    private long loggedAt;
-
     /** What the split is made from, for those who look for the cause of a bad day. */
     private void logState(long now) {
         if (now - loggedAt < LOG_US) return;
@@ -817,7 +836,7 @@
     // ---- second copies --------------------------------------------------------------------------
     private static final String LATE = "late:", MUTE = "mute:";
     /** A second copy is allowed, and a probe tells a server that stands still from one at work. */
-    private final boolean hedging;
+    private boolean hedging;
     private double copies;
 
     /** It was asked whether it lives and has said nothing since; after a while it is tried again. */
@@ -1079,9 +1098,9 @@
 
     // ---- peers ----------------------------------------------------------------------------------
     /** What each told last, by number; null before its first word. */
-    private final Peer[] peers;
+    private Peer[] peers;
     /** Mean rate of the sidecars heard of lately and this one, apart by their zone. */
-    private final double[] zoneRate;
+    private double[] zoneRate;
     private double[] zonePart;
     /** Peers heard of lately, and what they hold together. */
     private int heard;
@@ -1105,6 +1124,8 @@
     /** To all, while all words together cost little; in a fleet so large or so quiet that they would cost
      * more, to some at random: the means need a sample only. */
     private void tell(long now) {
+        telling = cfg.limits().peers() && cfg.balancers() > 1;
+        if (!telling) return;
         measure(now);
         PeerWord word = new PeerWord(cfg.kinds().size());
         word.zone = home;
--- a/src/main/java/rushproxy/State.java
+++ b/src/main/java/rushproxy/State.java
@@ -49,7 +49,7 @@
         /** Place in the order of the servers that all sidecars share. */
         final int order;
         /** Its zone's number in the settings, 0 where they do not name it. */
-        final int zone;
+        int zone;
         /** Last send or outcome; 0: no connection was used yet. */
         long usedAt;
         /** Time of a probe without an answer yet. */
@@ -69,11 +69,10 @@
             return a.sentAt < answeredUpTo;
         }
 
-        Server(Upstream entry, Kind kind, int zone, int order) {
+        Server(Upstream entry, Kind kind, int order) {
             id = entry.id();
             this.kind = kind;
             this.order = order;
-            this.zone = Math.max(0, zone);
             this.entry = entry;
         }
     }
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -18,7 +19,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.stream.Collectors;
 import rushproxy.Balancer.RequestClass;
 
 /** The application's side: listens, and says goodbye without losing what clients have sent. */
@@ -45,7 +45,7 @@
     private final EventLoop loop;
     private final Requests requests;
     private final Clock clock;
-    private final Map<String, RequestClass> classes;
+    private final Map<String, RequestClass> classes = new HashMap<>();
     private final BooleanSupplier canServe;
     private final int maxConnections;
     /** Whether the descriptors suffice for one more connection. */
@@ -54,7 +54,7 @@
     private final int maxSpare;
     private final Totals totals;
     /** No client waits longer than this for an answer. */
-    private final long longestUs;
+    private long longestUs;
     private final Set<ClientConnection> connections = new HashSet<>();
     private Channel listener;
     /** Null but while a rehearsal is on. */
@@ -70,8 +70,7 @@
         this.loop = loop;
         this.clock = clock;
         this.requests = requests;
-        this.classes = classes.stream().collect(Collectors.toMap(RequestClass::name, c -> c));
-        longestUs = classes.stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
+        take(classes);
         this.canServe = canServe;
         this.maxConnections = maxConnections;
         this.roomForMore = roomForMore;
@@ -79,6 +78,13 @@
         this.totals = totals;
     }
 
+    /** Requests whose first attempt or answer is still to come keep the class, and the deadline, they were taken with. */
+    void take(List<RequestClass> known) {
+        classes.clear();
+        known.forEach(c -> classes.put(c.name(), c));
+        longestUs = known.stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
+    }
+
     /** How many connections the application holds. */
     int open() {
         return connections.size();
--- a/src/main/java/rushproxy/sidecar/Config.java
+++ b/src/main/java/rushproxy/sidecar/Config.java
@@ -60,10 +60,15 @@
     }
 
     /** The file as it is now. Where it names another discovery than the variable of the start, the file is newer. */
-    static Config readAgain(Map<String, String> environment) throws Broken {
+    static Config readAgain(Map<String, String> environment, Settings inForce) throws Broken {
         Map<String, String> rest = new HashMap<>(environment);
         rest.remove("BALANCER_DISCOVERY");
-        return read(rest);
+        Config fresh = read(rest);
+        String wrong = SettingsCheck.wrong(fresh.settings, inForce);
+        if (wrong != null) {
+            throw new Broken("configuration, settings: " + wrong);
+        }
+        return fresh;
     }
 
     private static Config parse(Json json, Map<String, String> environment) {
--- a/src/main/java/rushproxy/sidecar/Peers.java
+++ b/src/main/java/rushproxy/sidecar/Peers.java
@@ -20,16 +20,22 @@
 
     private final Clock clock;
     private final Decisions decisions;
-    private final List<InetSocketAddress> peers;
-    private final InetSocketAddress all;
+    private List<InetSocketAddress> peers;
+    private InetSocketAddress all;
     private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
     private Channel channel;
 
     Peers(Clock clock, Decisions decisions, List<InetSocketAddress> peers, InetSocketAddress all) {
         this.clock = clock;
         this.decisions = decisions;
-        this.peers = peers;
-        this.all = all;
+        take(peers, all);
+    }
+
+    /** A peer's number is its place in the list that holds now. */
+    void take(List<InetSocketAddress> addresses, InetSocketAddress ofAll) {
+        peers = addresses;
+        all = ofAll;
+        numbers.clear();
         for (int i = 0; i < peers.size(); i++) {
             numbers.put(peers.get(i), i);
         }
--- a/src/main/java/rushproxy/sidecar/Reload.java
+++ b/src/main/java/rushproxy/sidecar/Reload.java
@@ -39,7 +39,7 @@
         }
         wanted = false;
         try {
-            sidecar.reconfigure(Config.readAgain(environment));
+            sidecar.reconfigure(Config.readAgain(environment, sidecar.settings()));
         } catch (Config.Broken e) {
             Log.line("goes on as before: " + e.getMessage());
         }
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -25,7 +25,7 @@
     private final Clock clock;
     private final Decisions decisions;
     private final Upstreams upstreams;
-    private final int maxAttempts;
+    private int maxAttempts;
     private final Totals totals;
     private final Map<String, Exchange> open = new HashMap<>();
 
@@ -39,6 +39,10 @@
         this.totals = totals;
     }
 
+    void allow(int attempts) {
+        maxAttempts = attempts;
+    }
+
     boolean knows(String id) {
         return open.containsKey(id);
     }
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import java.lang.management.ManagementFactory;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -28,7 +29,7 @@
     /** A line of totals in the log each 5 s: often enough to tell a bad stretch from the good ones around it. */
     private static final int BEATS = 100;
 
-    private final Config config;
+    private volatile Config config;
     private final Module module;
     private final Clock clock = new Clock();
     private final Turns turns = new Turns(clock);
@@ -90,6 +91,8 @@
 
     /** Runs one sidecar until it is asked to end; only a start that fails returns. */
     public static int serve(Map<String, String> environment) throws InterruptedException {
+        long jvmMs = ManagementFactory.getRuntimeMXBean().getStartTime();
+        long calledMs = System.currentTimeMillis();
         Reload reload = new Reload(environment);
         Config config;
         try {
@@ -98,6 +101,7 @@
             Log.line(e.getMessage());
             return 2;
         }
+        long readMs = System.currentTimeMillis();
         Module module = (c, now, actions) -> new Policy(c.settings(), c.seed(), now, actions);
         Sidecar sidecar = new Sidecar(config, module);
         Rehearsal rehearsal = new Rehearsal(config, module);
@@ -124,7 +128,10 @@
         long begunUs = sidecar.clock.now();
         rehearsal.play();
         sidecar.rehearsed();
-        Log.line("ready after a rehearsal of " + (sidecar.clock.now() - begunUs) / 1000 + " ms");
+        // Where a start takes long, one of these tells by what.
+        Log.line("ready after a rehearsal of " + (sidecar.clock.now() - begunUs) / 1000 + " ms; before it the Java machine took "
+                + (calledMs - jvmMs) + ", the settings " + (readMs - calledMs) + ", sockets and module "
+                + (begunUs / 1000 - readMs));
         new CountDownLatch(1).await();
         return 0;
     }
@@ -171,6 +178,11 @@
         return open[0];
     }
 
+    /** Those in force; read by the thread of a signal. */
+    Balancer.Settings settings() {
+        return config.settings();
+    }
+
     InetSocketAddress listening() {
         return listening;
     }
@@ -185,9 +197,29 @@
         loop.submit(clients::rehearsed).sync();
     }
 
-    /** Takes over what a new configuration may change while requests are held: where discovery is. */
+    /**
+     * A new configuration, checked whole, holds from now on: discovery, settings and peers. What is bound at the start,
+     * the addresses to listen on and the seed, stays.
+     */
     void reconfigure(Config fresh) {
-        loop.execute(() -> discovery.moveTo(fresh.discovery()));
+        loop.execute(() -> {
+            discovery.moveTo(fresh.discovery());
+            if (!fresh.settings().equals(config.settings()) || !fresh.peers().equals(config.peers())) {
+                config = fresh;
+                take(fresh);
+                Log.line("new settings are in force: " + fresh.limits());
+            }
+        });
+    }
+
+    private void take(Config fresh) {
+        Balancer.Settings settings = fresh.settings();
+        peers.take(fresh.peers(), fresh.peersAll());
+        // The module first: no request of a new class may come to one that does not know it.
+        decisions.call("new settings", m -> m.onSettings(clock.now(), settings), () -> { });
+        requests.allow(settings.limits().maxAttempts());
+        upstreams.allow(settings.limits().connIdleUs(), settings.limits().dialTimeoutUs(), stallUs(settings));
+        clients.take(settings.classes());
     }
 
     /** {@code stopped} runs when all that was taken has been answered and all connections are closed. */
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.EncoderException;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -156,7 +157,8 @@
     private final EventLoop loop;
     private final Clock clock;
     private final Turns turns;
-    private final long idleUs;
+    private long idleUs;
+    private long stallUs;
     private final long restUs;
     /** How many connections may be open now: what others leave of the descriptors. */
     private final IntSupplier maxConnections;
@@ -173,11 +175,18 @@
         this.maxConnections = maxConnections;
         this.totals = totals;
         this.restUs = restUs;
-        idleUs = Math.max(connIdleUs / 2, connIdleUs - IDLE_MARGIN_US);
-        bootstrap = Dialling.tcp(loop, (int) Math.max(1, dialTimeoutUs / 1000), channel -> UpstreamConnection.on(channel, stallUs));
+        bootstrap = Dialling.tcp(loop, 1, channel -> UpstreamConnection.on(channel, this.stallUs));
+        allow(connIdleUs, dialTimeoutUs, stallUs);
         loop.scheduleWithFixedDelay(this::dropIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** For connections from now on, but the idle time, which ends those too that are idle now. */
+    void allow(long connIdleUs, long dialTimeoutUs, long stalledUs) {
+        idleUs = Math.max(connIdleUs / 2, connIdleUs - IDLE_MARGIN_US);
+        stallUs = stalledUs;
+        bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeoutUs / 1000));
+    }
+
     /** Connections to what drained, went or is now another process are of no more use. */
     void update(UpstreamList list) {
         Set<String> named = new HashSet<>();
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -998,6 +998,37 @@
         }
     }
 
+    // ---- settings -------------------------------------------------------------------------------
+
+    /** An open request keeps its class, whatever becomes of it; the next ones find what holds now. */
+    @Test
+    void otherSettingsHoldForWhatComesNextAndOpenRequestsGoOn() {
+        Rig rig = new Rig();
+        rig.semantics = Semantics.UNSAFE;
+        rig.start().list(A, B).request("old");
+        Rig safe = new Rig();
+        safe.maxAttempts = 2;
+        safe.balancers = 30;
+        rig.policy.onSettings(rig.now, safe.start().policySettings);
+        rig.after(10_000).outcome("old", 0, rig.sentTo("old", 0), Outcome.RESET, 10_000);
+        assertEquals(List.of("fail old"), rig.take("fail old"), "it may have run, and its class may not be repeated");
+        rig.request("new");
+        for (int i = 0; i < 2; i++) {
+            rig.after(10_000).outcome("new", i, rig.sentTo("new", i), Outcome.RESET, 10_000);
+        }
+        assertEquals(2, rig.take("send new").size(), "safe now, with two attempts");
+        assertEquals(1, rig.take("fail new").size());
+        rig.policy.onPeer(rig.now, 29, word(1).bytes());
+        rig.after(1_000_000).fire("tell");
+        assertTrue(rig.take("tell").stream().allMatch(t -> Integer.parseInt(t.split(" ")[1]) < 30));
+    }
+
+    private static PeerWord word(int kinds) {
+        PeerWord word = new PeerWord(kinds);
+        word.rate = 3;
+        return word;
+    }
+
     // ---- discovery ------------------------------------------------------------------------------
 
     @Test
--- a/src/test/java/rushproxy/Rig.java
+++ b/src/test/java/rushproxy/Rig.java
@@ -22,6 +22,7 @@
     final List<String> actions = new ArrayList<>();
     long now = 1_000_000_000L;
     Policy policy;
+    Settings policySettings;
     byte[] lastBytes;
     PeerWord lastWord;
 
@@ -50,6 +51,7 @@
                 new Limits(maxAttempts, secondCopies, true, probing, peers, true, 1_000_000, 15_000_000, 250_000, 0),
                 new Rules(500_000, 0.13, 24_000_000, 3, 1_000_000, 10_000_000, 5_000, closeOnDrainUs), reports, onRequest,
                 false, 0.1, new Prices(crossZonePrice, 0.01, 0.002, connectionPrice, connectionPrice), 1000);
+        policySettings = settings;
         policy = new Policy(settings, seed, now, this);
         return this;
     }
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -116,9 +116,15 @@
                 + ",\"limits\":{\"sockets\":" + sockets + "},\"settings\":" + settings + "}";
     }
 
-    /** As on SIGHUP, with a file that names another discovery. */
+    /** As on SIGHUP, with a file that names this discovery and has the settings that the rig has now. */
     void reload(String discoveryAddress) throws Exception {
-        sidecar.reconfigure(config(json(discoveryAddress)));
+        Path file = Files.createTempFile("config", ".json");
+        try {
+            Files.writeString(file, json(discoveryAddress));
+            sidecar.reconfigure(Config.readAgain(Map.of("BALANCER_CONFIG", file.toString()), sidecar.settings()));
+        } finally {
+            Files.delete(file);
+        }
     }
 
     /** Set before the start: the sidecar is not ready, and this runs with each request that it takes all the same. */
@@ -180,6 +186,11 @@
             }
         }
 
+        @Override
+        public void onSettings(long now, Settings settings) {
+            told.add("settings " + String.join(",", settings.classes().stream().map(RequestClass::name).toList()));
+        }
+
         @Override
         public void onRequest(long now, Request request) {
             told.add("request " + request.id() + " " + request.remainingUs());
