Measure what fleets of up to 2,400 sidecars cost: `scale`, with CSV

Hollow fleets and the module alone are measured by sidecars and by servers: heap, processor time of a request, a re-solve, an outcome, a word, a delta and a whole list; words and bytes a second; how far each sidecar's fleet rate is off the true one, calm and after 70 % were restarted at once. A benchmark, not a test; picocli reads its command line.

--- a/src/main/java/rushproxy/Main.java
+++ b/src/main/java/rushproxy/Main.java
@@ -1,9 +1,15 @@
 package rushproxy;
 
+import java.util.Arrays;
+import picocli.CommandLine;
+import rushproxy.hollow.ScaleCommand;
 import rushproxy.sidecar.Sidecar;
 import rushproxy.wire.SimHost;
 
-/** Command line: {@code serve} runs a sidecar, {@code simhost} hosts many instances on the simulator's wire. */
+/**
+ * Command line: {@code serve} runs a sidecar, {@code simhost} hosts many instances on the simulator's wire, {@code scale}
+ * measures what fleets cost.
+ */
 public final class Main {
     private Main() {}
 
@@ -16,7 +22,10 @@
             System.setProperty("io.netty.jfr.enabled", "false");
             System.exit(Sidecar.serve(System.getenv()));
         }
-        System.err.println("usage: java -jar rushproxy.jar serve|simhost");
+        if (args.length > 0 && args[0].equals("scale")) {
+            System.exit(new CommandLine(new ScaleCommand()).execute(Arrays.copyOfRange(args, 1, args.length)));
+        }
+        System.err.println("usage: java -jar rushproxy.jar serve|simhost|scale");
         System.exit(2);
     }
 }
--- a/src/main/java/rushproxy/hollow/HollowFleet.java
+++ b/src/main/java/rushproxy/hollow/HollowFleet.java
@@ -127,6 +127,18 @@
         return refused / (double) Math.max(1, taken);
     }
 
+    long words() {
+        return words;
+    }
+
+    long wordBytes() {
+        return wordBytes;
+    }
+
+    List<HollowSidecar> sidecars() {
+        return sidecars;
+    }
+
     List<HollowServer> servers() {
         return servers;
     }
--- a/src/main/java/rushproxy/hollow/HollowSidecar.java
+++ b/src/main/java/rushproxy/hollow/HollowSidecar.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import rushproxy.Balancer;
 import rushproxy.Balancer.ListKind;
 import rushproxy.Balancer.Outcome;
@@ -13,6 +15,8 @@
 
 /** One real module and what stands for its process: nothing but the carrying of its decisions to the models. */
 final class HollowSidecar implements Balancer.Actions {
+    private static final Pattern FLEET_RATE = Pattern.compile("^rate \\d+ of (\\d+) a second");
+
     private final HollowFleet fleet;
     private final int me;
     private final Map<String, Integer> attempts = new HashMap<>();
@@ -22,6 +26,7 @@
     /** Timers and answers of a process that has ended find another number here. */
     private int process;
     private long requests;
+    private double believedRate = -1;
 
     HollowSidecar(HollowFleet fleet, int me) {
         this.fleet = fleet;
@@ -32,6 +37,7 @@
     void start(List<Upstream> known) {
         process++;
         attempts.clear();
+        believedRate = -1;
         decide(() -> {
             module = new Policy(fleet.shape().settings(me), fleet.shape().seed() * 1_000_003 + me * 31L + process,
                     fleet.now(), this);
@@ -142,8 +148,17 @@
         // No connections here.
     }
 
+    /** The module's own line of estimates tells what it takes the fleet's rate for. */
     @Override
     public void log(String text) {
-        // For operators of real processes.
+        Matcher rate = FLEET_RATE.matcher(text);
+        if (rate.find()) {
+            believedRate = Double.parseDouble(rate.group(1));
+        }
+    }
+
+    /** Requests a second of the whole fleet, as its module said last; negative before it said anything. */
+    double believedRate() {
+        return believedRate;
     }
 }
--- /dev/null
+++ b/src/main/java/rushproxy/hollow/ModuleCosts.java
@@ -0,0 +1,228 @@
+package rushproxy.hollow;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import rushproxy.Balancer;
+import rushproxy.Balancer.ListKind;
+import rushproxy.Balancer.Outcome;
+import rushproxy.Balancer.Request;
+import rushproxy.Balancer.Upstream;
+import rushproxy.Balancer.UpstreamState;
+import rushproxy.Policy;
+
+/**
+ * What one module costs in a fleet of so many sidecars and servers: processor time of each kind of event, in a batch of
+ * each, and heap. The module is the real one, warmed up; its words are those of other modules.
+ */
+final class ModuleCosts {
+    private static final int BATCHES = 15;
+    private static final int IN_FLIGHT = 20;
+    /** Of which the heap is taken, so that what the collector moves meanwhile weighs little. */
+    private static final int INSTANCES = 20;
+    /** Requests a second that come to the module measured: 180,000 over 2,400. */
+    private static final int RATE = 75;
+    private static final long RESOLVE_US = 100_000;
+
+    private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+    private final SplittableRandom random = new SplittableRandom(7);
+    private final Shape shape;
+    private final List<Upstream> list = new ArrayList<>();
+    private final List<byte[]> words = new ArrayList<>();
+    private final List<String[]> sends = new ArrayList<>();
+    private final Policy module;
+    private final long heapBytes;
+    private long nowUs = 1_000_000_000L;
+    private long number;
+
+    ModuleCosts(int sidecars, int servers) {
+        shape = new Shape(sidecars, servers, 0.6, 1, 0, 0, 1);
+        for (int i = 0; i < servers; i++) {
+            list.add(new Upstream("s" + i, "za", "k", i % 8, 0, 1, UpstreamState.READY));
+        }
+        words(sidecars);
+        List<Policy> several = new ArrayList<>();
+        long before = heap();
+        for (int i = 0; i < INSTANCES; i++) {
+            several.add(module(sidecars));
+        }
+        heapBytes = Math.max(0, heap() - before) / INSTANCES;
+        module = several.get(0);
+        for (int i = 0; i < IN_FLIGHT; i++) {
+            request();
+        }
+        for (int i = 0; i < 3_000; i++) {
+            nowUs += 1_000_000 / RATE;
+            request();
+            outcome();
+            if (i % 50 == 0) {
+                module.onTimer(nowUs, "tell");
+            }
+        }
+    }
+
+    private Policy module(int sidecars) {
+        Keeping keeping = new Keeping();
+        Policy made = new Policy(shape.settings(0), 1, nowUs, keeping);
+        made.onList(nowUs, ListKind.FULL, list);
+        for (int peer = 1; peer < sidecars; peer++) {
+            made.onPeer(nowUs, peer, words.get(peer % words.size()));
+        }
+        return made;
+    }
+
+    /** Words as other modules of the same fleet tell them. */
+    private void words(int sidecars) {
+        Policy[] other = new Policy[1];
+        Keeping hands = new Keeping() {
+            @Override
+            public void tell(int peer, byte[] message) {
+                words.add(message);
+            }
+        };
+        other[0] = new Policy(shape.settings(Math.min(1, sidecars - 1)), 2, nowUs, hands);
+        other[0].onList(nowUs, ListKind.FULL, list);
+        for (int i = 1; i <= 200; i++) {
+            other[0].onRequest(nowUs + i * 13_000L, new Request("o" + i, -1, false, false, 0, Shape.DEADLINE_US, null, "submit"));
+        }
+        other[0].onTimer(nowUs + 2_700_000, "tell");
+    }
+
+    private static long heap() {
+        for (int i = 0; i < 3; i++) {
+            System.gc();
+        }
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
+    private void request() {
+        module.onRequest(nowUs, new Request("r" + number++, -1, false, false, 0, Shape.DEADLINE_US, null,
+                number % 10 < 7 ? "submit" : "issue"));
+    }
+
+    /** Of a request drawn from those that are out, so that as many stay out. */
+    private void outcome() {
+        if (!sends.isEmpty()) {
+            String[] s = sends.remove(random.nextInt(sends.size()));
+            module.onOutcome(nowUs, s[0], 0, s[1], Outcome.OK, (long) Shape.WORK_US, true, null);
+        }
+    }
+
+    /** The median over the batches of the processor time of one run in microseconds. */
+    private double each(int runs, Runnable before, Runnable run) {
+        double[] batches = new double[BATCHES];
+        for (int b = 0; b < BATCHES; b++) {
+            long ns = 0;
+            for (int i = 0; i < runs; i++) {
+                before.run();
+                long from = threads.getCurrentThreadCpuTime();
+                run.run();
+                ns += threads.getCurrentThreadCpuTime() - from;
+            }
+            batches[b] = ns / 1e3 / runs;
+        }
+        Arrays.sort(batches);
+        return batches[BATCHES / 2];
+    }
+
+    /** The clock's own cost, to be taken off the others. */
+    double clockUs() {
+        return each(200, () -> { }, () -> { });
+    }
+
+    /** A request between two re-solves. */
+    double requestUs() {
+        return each(20, () -> {
+            outcome();
+            nowUs += 1_000;
+            module.onTimer(nowUs, "none");
+        }, this::request);
+    }
+
+    double outcomeUs() {
+        return each(20, this::request, this::outcome);
+    }
+
+    /** A request that finds the shares old: with the re-solve, of which there are ten a second at the most. */
+    double resolveUs() {
+        return each(20, () -> {
+            outcome();
+            nowUs += RESOLVE_US;
+        }, this::request);
+    }
+
+    double wordUs() {
+        int[] peer = new int[1];
+        return each(200, () -> peer[0] = 1 + (peer[0] + 1) % Math.max(1, shape.sidecars() - 1),
+                () -> module.onPeer(nowUs, Math.min(peer[0], shape.sidecars() - 1), words.get(0)));
+    }
+
+    double deltaUs() {
+        return each(20, () -> nowUs += 10_000, () -> module.onList(nowUs, ListKind.DELTA,
+                List.of(list.get(random.nextInt(list.size())))));
+    }
+
+    double wholeListUs() {
+        return each(5, () -> nowUs += 10_000, () -> module.onList(nowUs, ListKind.FULL, list));
+    }
+
+    /** Of the module with its servers and peers, without requests. */
+    long heapBytes() {
+        return heapBytes;
+    }
+
+    private class Keeping implements Balancer.Actions {
+        @Override
+        public void send(String request, String upstream, long untilUs) {
+            sends.add(new String[] {request, upstream});
+        }
+
+        @Override
+        public void refuse(String request, long retryAfterUs) {
+            // It has ended.
+        }
+
+        @Override
+        public void fail(String request) {
+            // It has ended.
+        }
+
+        @Override
+        public void cancel(String request, int attempt) {
+            // Nothing is out for real.
+        }
+
+        @Override
+        public void probe(String upstream) {
+            // Not allowed by these settings.
+        }
+
+        @Override
+        public void subscribe() {
+            // Lists are pushed by these settings.
+        }
+
+        @Override
+        public void tell(int peer, byte[] message) {
+            // Counted where fleets are played.
+        }
+
+        @Override
+        public void close(String upstream) {
+            // No connections here.
+        }
+
+        @Override
+        public void timer(String mark, long delayUs) {
+            // Events come as they are measured.
+        }
+
+        @Override
+        public void log(String text) {
+            // For operators of real processes.
+        }
+    }
+}
