Keep the servers with own requests in a set: a request costs the same in any fleet

Change: the sum goes over the servers that hold something, as many at the most as requests are open. Their number is the size of their attempts, which a field of its own repeated.

--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -77,9 +77,8 @@
     private static final int FEWEST = 3;
     /** A connection idle for less than this is not suspected of having been dropped meanwhile. */
     private static final long IDLE_LEAST_US = 200_000;
-    private static final long IDLE_FORGET_US = 5_000_000;
+    private static final long IDLE_FORGET_US = 5_000_000, LOG_US = 5_000_000;
 
-    private static final long LOG_US = 5_000_000;
 
     private Settings cfg;
     private final Actions out;
@@ -197,7 +196,7 @@
 
     /** Ids are ever new where servers are replaced: one that is gone is kept for its last attempts alone. */
     private static boolean forgotten(Server s) {
-        return s.gone && s.own == 0;
+        return s.gone && s.own() == 0;
     }
 
     /** Fifth rule: idle connections to a server that leaves are closed at the notice and after each later
@@ -297,7 +296,7 @@
             }
             if (missing(now, s, a)) missing++;
         }
-        double known = Math.max(0, s.own - Math.max(s.lost, missing)) + Math.max(0, s.others - done);
+        double known = Math.max(0, s.own() - Math.max(s.lost, missing)) + Math.max(0, s.others - done);
         if (oldest != null && s.lost == 0) {
             // An answer that is overdue counts as more in flight: a stall shows in the own requests first.
             double overdue = (now - oldest.sentAt) / oldest.expected - 2;
@@ -354,9 +353,9 @@
         Server s = servers.get(upstream);
         if (s == null || r == null || r.inFlight() < 0) return;
         // Overdue here and not held there: lost on its connection, and no load here either.
-        long overdue = s.attempts.stream().filter(a -> !a.ended && overdue(now, a)).count();
-        s.lost = (int) Math.min(overdue, Math.max(0, s.own - Math.round(r.inFlight())));
-        s.others = Math.max(0, r.inFlight() - s.own);
+        long overdue = s.attempts.stream().filter(a -> now - a.sentAt >= OVERDUE * a.expected).count();
+        s.lost = (int) Math.min(overdue, Math.max(0, s.own() - Math.round(r.inFlight())));
+        s.others = Math.max(0, r.inFlight() - s.own());
         s.reportedAt = wordAt = now;
         told = s;
         double running = r.inFlight() - Math.max(0, r.queued());
@@ -493,8 +492,8 @@
         kinds.forEach((name, k) -> text.append(
                 String.format(Locale.ROOT, "; %s cores %.2f slow %.2f", name, k.cores, k.slow)));
         for (Server s : ready) {
-            String state = now < s.ejectedUntil ? " ejected" : warmth(s, now) < 1 ? " cold" : "";
-            text.append(String.format(Locale.ROOT, "; %s own %d apart %.2f%s", s.id, s.own, s.apart, state));
+            String how = now < s.ejectedUntil ? " ejected" : warmth(s, now) < 1 ? " cold" : "";
+            text.append(String.format(Locale.ROOT, "; %s own %d apart %.2f%s", s.id, s.own(), s.apart, how));
         }
         out.log(text.toString());
     }
@@ -620,7 +619,7 @@
     }
 
     private boolean hasRoom(long now, Req r, Server s, boolean freeCore) {
-        if (!panic && (mute(s, now) || now < s.ejectedUntil || s.ejections > 0 && s.own > 0)) return false;
+        if (!panic && (mute(s, now) || now < s.ejectedUntil || s.ejections > 0 && s.own() > 0)) return false;
         if (!maySend(now, r, s)) return false;
         double cores = Math.max(1, s.kind.cores) * warmth(s, now);
         double load = load(s, now);
@@ -661,10 +660,13 @@
         else send(now, r, s);
     }
 
+    /** Those with own requests: as many at the most as are open, however large the fleet is. */
+    private final Set<Server> busy = new LinkedHashSet<>();
+
     /** Requests that servers hold for this sidecar; those on servers left out are in nobody's way. */
     private double held(long now) {
         double held = 0;
-        for (Server s : ready) held += now < s.ejectedUntil ? 0 : Math.max(0, s.own - s.lost);
+        for (Server s : busy) held += !s.ready || now < s.ejectedUntil ? 0 : Math.max(0, s.own() - s.lost);
         return held;
     }
 
@@ -817,11 +819,11 @@
         a.plain = a.expected / s.slow();
         r.attempts.add(a);
         s.attempts.addLast(a);
-        s.own++;
+        busy.add(s);
         long slot = coldSlot(s, now);
         s.coldSent = r.work + (slot == s.coldSlot ? s.coldSent : 0);
         s.coldSlot = slot;
-        a.idle = s.own > 1 || now - s.usedAt > cfg.limits().connIdleUs() ? 0 : now - s.usedAt;
+        a.idle = s.own() > 1 || now - s.usedAt > cfg.limits().connIdleUs() ? 0 : now - s.usedAt;
         if (a.idle >= idleLimit) {
             out.close(s.id);
             a.idle = 0;
@@ -856,10 +858,6 @@
         return out;
     }
 
-    private static boolean overdue(long now, Attempt a) {
-        return now - a.sentAt >= OVERDUE * a.expected;
-    }
-
     /** Its server is asked beside the queue: for one at work a copy would be wasted. */
     private void late(long now, Req r) {
         Attempt a = lone(now, r);
@@ -920,8 +918,8 @@
         Server s = a.server;
         a.ended = true;
         a.mayHaveRun = outcome.mayHaveRun;
-        s.own--;
         s.attempts.remove(a);
+        if (s.attempts.isEmpty()) busy.remove(s);
         boolean answered = outcome == Outcome.OK || outcome == Outcome.ERROR;
         if (answered) {
             s.answeredUpTo = Math.max(s.answeredUpTo, a.sentAt);
@@ -1001,7 +999,7 @@
                 // but on its way out, or its room is broken.
                 if (answering(now, s, a)) {
                     failed(now, s, SPOILT);
-                } else if (s.own < s.kind.cores) {
+                } else if (s.own() < s.kind.cores) {
                     s.ejections = Math.max(2, s.ejections);
                     failed(now, s, EJECT_AFTER);
                 }
@@ -1017,7 +1015,7 @@
     }
 
     private void countAsFull(Server s, long now) {
-        s.others = Math.max(load(s, now), s.kind.cores + CROWD * Math.sqrt(s.kind.cores)) - s.own;
+        s.others = Math.max(load(s, now), s.kind.cores + CROWD * Math.sqrt(s.kind.cores)) - s.own();
         s.reportedAt = now;
     }
 
--- a/src/main/java/rushproxy/State.java
+++ b/src/main/java/rushproxy/State.java
@@ -31,7 +31,6 @@
         boolean gone;
         double share;
         /** Own requests in flight: their attempts in the order of their sends. */
-        int own;
         final ArrayDeque<Attempt> attempts = new ArrayDeque<>();
         /** The latest send that it has answered: what was sent before and is still out has been overtaken. */
         long answeredUpTo = Long.MIN_VALUE / 2;
@@ -60,6 +59,10 @@
         long coldSlot;
         double coldSent;
 
+        int own() {
+            return attempts.size();
+        }
+
         double slow() {
             return kind.slow * apart;
         }
