--- a/src/main/java/rushproxy/hollow/HollowSidecar.java
+++ b/src/main/java/rushproxy/hollow/HollowSidecar.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import rushproxy.Balancer;
 import rushproxy.Balancer.ListKind;
 import rushproxy.Balancer.Outcome;
 import rushproxy.Balancer.Request;
@@ -14,7 +13,7 @@
 import rushproxy.Policy;
 
 /** One real module and what stands for its process: nothing but the carrying of its decisions to the models. */
-final class HollowSidecar implements Balancer.Actions {
+final class HollowSidecar extends Ignoring {
     private static final Pattern FLEET_RATE = Pattern.compile("^rate \\d+ of (\\d+) a second");
 
     private final HollowFleet fleet;
@@ -128,26 +127,6 @@
         later(delayUs, () -> module.onTimer(fleet.now(), mark));
     }
 
-    @Override
-    public void cancel(String request, int attempt) {
-        // The module calls nothing off where the servers tell no load.
-    }
-
-    @Override
-    public void probe(String upstream) {
-        // Not allowed by these settings.
-    }
-
-    @Override
-    public void subscribe() {
-        // Lists are pushed by these settings.
-    }
-
-    @Override
-    public void close(String upstream) {
-        // No connections here.
-    }
-
     /** The module's own line of estimates tells what it takes the fleet's rate for. */
     @Override
     public void log(String text) {
--- a/src/main/java/rushproxy/hollow/ModuleCosts.java
+++ b/src/main/java/rushproxy/hollow/ModuleCosts.java
@@ -6,7 +6,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
-import rushproxy.Balancer;
 import rushproxy.Balancer.ListKind;
 import rushproxy.Balancer.Outcome;
 import rushproxy.Balancer.Request;
@@ -188,55 +187,10 @@
         return heapBytes;
     }
 
-    private class Keeping implements Balancer.Actions {
+    private class Keeping extends Ignoring {
         @Override
         public void send(String request, String upstream, long untilUs) {
             sends.add(new String[] {request, upstream});
         }
-
-        @Override
-        public void refuse(String request, long retryAfterUs) {
-            // It has ended.
-        }
-
-        @Override
-        public void fail(String request) {
-            // It has ended.
-        }
-
-        @Override
-        public void cancel(String request, int attempt) {
-            // Nothing is out for real.
-        }
-
-        @Override
-        public void probe(String upstream) {
-            // Not allowed by these settings.
-        }
-
-        @Override
-        public void subscribe() {
-            // Lists are pushed by these settings.
-        }
-
-        @Override
-        public void tell(int peer, byte[] message) {
-            // Counted where fleets are played.
-        }
-
-        @Override
-        public void close(String upstream) {
-            // No connections here.
-        }
-
-        @Override
-        public void timer(String mark, long delayUs) {
-            // Events come as they are measured.
-        }
-
-        @Override
-        public void log(String text) {
-            // For operators of real processes.
-        }
     }
 }
