--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -1,18 +1,23 @@
 #!/usr/bin/env bash
-# Makes the class archive that `run` starts from: a sidecar is started, which rehearses with itself and so loads what
-# serving needs, and is stopped. Without an archive `run` only starts slower, so nothing here fails the build.
+# Makes the class archive that `run` starts from. A sidecar is started with the Java flags of `run`, rehearses with
+# itself, so that all that serving needs is loaded, and is stopped; what it loaded then goes into one archive with the
+# JDK's own classes. Without an archive `run` only starts slower, so nothing here fails the build.
 cd "$(dirname "$0")/.." || exit 1
 archive=target/sidecar.jsa
-rm -f "$archive"
-BALANCER_CONFIG=deploy/rehearsal.json java -XX:+UseSerialGC -Xlog:disable -Xlog:all=off \
-    -XX:ArchiveClassesAtExit="$archive" -jar target/rushproxy.jar serve 2>target/rehearsal.log &
+classes=target/sidecar.classes
+rm -f "$archive" "$classes"
+run=$(sed -n 's/^run = "exec \(.*\)"$/\1/p' deploy/balancer.toml)
+recording=${run/-XX:SharedArchiveFile=$archive -Xshare:auto/-Xshare:off -XX:DumpLoadedClassList=$classes}
+BALANCER_CONFIG=deploy/rehearsal.json $recording 2>target/rehearsal.log &
 sidecar=$!
-for _ in $(seq 100); do
+for _ in $(seq 200); do
     grep -q ' ready after ' target/rehearsal.log && break
     kill -0 "$sidecar" 2>/dev/null || break
     sleep 0.1
 done
 kill -TERM "$sidecar" 2>/dev/null
 wait "$sidecar"
+java -Xshare:dump -XX:+UseSerialGC -XX:SharedClassListFile="$classes" -XX:SharedArchiveFile="$archive" \
+    -cp target/rushproxy.jar >target/archive.log 2>&1
 [ -f "$archive" ] || echo "no class archive for the sidecar: it will start slower" >&2
 exit 0
