Read JSON with jackson-core's parser alone

Change: the same library's streaming parser, and a reader of thirty lines over it. Test: every kind of value, and a text cut off at each place, is refused with the one exception that is handled.

--- a/src/main/java/rushproxy/sidecar/Json.java
+++ b/src/main/java/rushproxy/sidecar/Json.java
@@ -1,13 +1,19 @@
 package rushproxy.sidecar;
 
-import com.fasterxml.jackson.jr.ob.JSON;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
 /** Reads JSON objects field by field; a field of the wrong kind is named in the exception. */
 final class Json {
+    private static final JsonFactory FACTORY = new JsonFactory();
+
     private final Map<String, Object> fields;
 
     private Json(Map<String, Object> fields) {
@@ -16,17 +22,53 @@
 
     static Json parse(byte[] text) {
         try {
-            Map<String, Object> fields = JSON.std.mapFrom(text);
-            if (fields == null) {
-                throw new IllegalArgumentException("no JSON object");
-            }
-            return new Json(fields);
+            return new Json(read(text));
         } catch (IOException e) {
             String reason = String.valueOf(e.getMessage());
             throw new IllegalArgumentException("no JSON object: " + reason.lines().findFirst().orElse(""));
         }
     }
 
+    private static Map<String, Object> read(byte[] text) throws IOException {
+        try (JsonParser parser = FACTORY.createParser(text)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw new IllegalArgumentException("no JSON object");
+            }
+            return object(parser);
+        }
+    }
+
+    private static Map<String, Object> object(JsonParser parser) throws IOException {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            String name = parser.currentName();
+            parser.nextToken();
+            fields.put(name, value(parser));
+        }
+        return fields;
+    }
+
+    private static List<Object> array(JsonParser parser) throws IOException {
+        List<Object> values = new ArrayList<>();
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            values.add(value(parser));
+        }
+        return values;
+    }
+
+    /** The value whose first token the parser stands at. */
+    private static Object value(JsonParser parser) throws IOException {
+        return switch (parser.currentToken()) {
+            case START_OBJECT -> object(parser);
+            case START_ARRAY -> array(parser);
+            case VALUE_STRING -> parser.getText();
+            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> parser.getNumberValue();
+            case VALUE_TRUE -> Boolean.TRUE;
+            case VALUE_FALSE -> Boolean.FALSE;
+            default -> null;
+        };
+    }
+
     boolean has(String name) {
         return fields.get(name) != null;
     }
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/JsonTest.java
@@ -0,0 +1,42 @@
+package rushproxy.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class JsonTest {
+    private static Json parse(String text) {
+        return Json.parse(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void eachKindOfValueIsRead() {
+        Json json = parse(" {\n \"a\" : {\"b\":[1,-2.5e1,\"x\\u00e9\",true,null,[]]}, \"n\":null, \"big\":9007199254740993,\n"
+                + "\"list\":[{\"i\":1},{\"i\":2}],\"flag\":false,\"texts\":[\"p\",\"q\"]}");
+        assertEquals("1,-25.0,x\u00e9,true,null,[]", json.object("a").flat().get("b"));
+        assertFalse(json.has("n"));
+        assertEquals(9_007_199_254_740_993L, json.number("big"));
+        assertEquals(List.of(1L, 2L), json.objects("list").stream().map(o -> o.number("i")).toList());
+        assertFalse(json.flag("flag"));
+        assertEquals(List.of("p", "q"), json.textsOrNone("texts"));
+        assertEquals("2", json.flat().get("list.count"));
+    }
+
+    /** Each gets an exception of the one kind that is handled, whatever it is cut off in. */
+    @Test
+    void whatIsNoObjectIsRefused() {
+        String whole = "{\"a\":[1,{\"b\":\"c\"}],\"d\":true}";
+        for (int cut = 0; cut < whole.length(); cut++) {
+            String text = whole.substring(0, cut);
+            assertThrows(IllegalArgumentException.class, () -> parse(text), text);
+        }
+        for (String text : List.of("[]", "1", "null", "{\"a\":}", "{a:1}", "{\"a\":1,}", "[".repeat(5_000),
+                "{\"a\":".repeat(5_000))) {
+            assertThrows(IllegalArgumentException.class, () -> parse(text), text);
+        }
+    }
+}
