Ask no management beans and open no second loop at a start; wake the idle loop less

Cause, by strace and class lists of loopback runs: each beat of 50 ms asked six management beans (a tenth of a start's classes, 430 calls of times and as many of clock_gettime in 20 s); three timers woke an idle loop 31 times a second; each answer set two timers for its connection's rest; the rehearsal ran a third event loop; Netty looked for three logging libraries class by class, enumerated network interfaces for ids that nobody reads and made channels by reflection. Change: EventLoopMonitor (was Vitals) tells a late loop by what each thread ran and how long it waited for a processor, from schedstat, read only where a line is due; one tick of 100 ms; ReadTrackingLoop (was Turns) owns its event loop, and a rested connection is known by the last whole reading; NettyEnvironment and NettyLog; the line of a start gives its phases with their processor time. Tests: a late tick names the threads' processor time.

--- a/src/main/java/rushproxy/Main.java
+++ b/src/main/java/rushproxy/Main.java
@@ -18,8 +18,6 @@
             System.exit(new SimHost(System.in, System.out, System.err).run());
         }
         if (args.length == 1 && args[0].equals("serve")) {
-            // Before Netty's first class: its events for Flight Recorder start that recorder, a fifth of the start's CPU.
-            System.setProperty("io.netty.jfr.enabled", "false");
             System.exit(Sidecar.serve(System.getenv()));
         }
         if (args.length > 0 && args[0].equals("scale")) {
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -30,7 +30,6 @@
     private static final long LOOK_MS = 20;
     /** Reads in a row from one connection: all that clients send ahead, and the end that stands behind it. */
     private static final int READS = 64;
-    private static final long SWEEP_MS = 100;
     /** Its first request may still be on its way. */
     private static final long FRESH_US = 50_000;
     /** An application that goes on coming for this long does not know of the stop. */
@@ -91,7 +90,7 @@
     }
 
     InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
-        listener = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        listener = new ServerBootstrap().group(loop).channelFactory(NioServerSocketChannel::new)
                 .option(ChannelOption.SO_BACKLOG, 256)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -104,7 +103,6 @@
                         accepted(channel);
                     }
                 }).bind(address).sync().channel();
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         return (InetSocketAddress) listener.localAddress();
     }
 
@@ -168,8 +166,8 @@
         idle.ifPresent(ClientConnection::close);
     }
 
-    /** Who says nothing, or only half of something, or nothing more, holds a descriptor that others need. */
-    private void sweep() {
+    /** Some times a second: who says nothing, or only half of something, or nothing more, holds a descriptor that others need. */
+    void sweep() {
         long now = clock.now();
         List.copyOf(connections).forEach(c -> c.expire(now));
         if (connections.size() >= maxConnections) {
--- a/src/main/java/rushproxy/sidecar/Decisions.java
+++ b/src/main/java/rushproxy/sidecar/Decisions.java
@@ -15,12 +15,12 @@
     private final ArrayDeque<Runnable> actions = new ArrayDeque<>();
     private Balancer module;
     private final Clock clock;
-    private final Vitals vitals;
+    private final EventLoopMonitor monitor;
     private boolean running;
 
-    Decisions(Clock clock, Vitals vitals) {
+    Decisions(Clock clock, EventLoopMonitor monitor) {
         this.clock = clock;
-        this.vitals = vitals;
+        this.monitor = monitor;
     }
 
     /** {@code build} makes the module, which may act from its constructor on. */
@@ -39,7 +39,7 @@
                 Log.trouble("the module failed", e);
                 actions.add(broken);
             }
-            vitals.did(event, begunUs);
+            monitor.finished(event, begunUs);
         });
         if (!running) {
             run();
@@ -58,7 +58,7 @@
                     } catch (RuntimeException e) {
                         Log.trouble("an action failed", e);
                     }
-                    vitals.did("carrying out a decision", begunUs);
+                    monitor.finished("carrying out a decision", begunUs);
                 }
             }
         } finally {
--- a/src/main/java/rushproxy/sidecar/Dialling.java
+++ b/src/main/java/rushproxy/sidecar/Dialling.java
@@ -24,7 +24,7 @@
 
     /** {@code equip} gives each new connection its handlers. */
     static Bootstrap tcp(EventLoop loop, int connectMs, Consumer<Channel> equip) {
-        return new Bootstrap().group(loop).channel(NioSocketChannel.class).disableResolver()
+        return new Bootstrap().group(loop).channelFactory(NioSocketChannel::new).disableResolver()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMs)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<Channel>() {
--- a/src/main/java/rushproxy/sidecar/Peers.java
+++ b/src/main/java/rushproxy/sidecar/Peers.java
@@ -42,7 +42,7 @@
     }
 
     void listen(EventLoop loop, InetSocketAddress address) throws InterruptedException {
-        channel = new Bootstrap().group(loop).channel(NioDatagramChannel.class).handler(new Handler())
+        channel = new Bootstrap().group(loop).channelFactory(() -> new NioDatagramChannel()).handler(new Handler())
                 .bind(address).sync().channel();
     }
 
--- a/src/main/java/rushproxy/sidecar/ReadTrackingLoop.java
+++ b/src/main/java/rushproxy/sidecar/ReadTrackingLoop.java
@@ -6,36 +6,49 @@
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.IoRegistration;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.ThreadAwareExecutor;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
 /**
- * The turns of the event loop, each of which reads what the sockets have and then runs what is due. An attempt begins
- * only behind a whole reading that started just before: in a loop that is late, a client's leaving waits in a socket
- * that comes after the one that decided the attempt. Costs a send up to {@link #MOST_MORE} turns and no wait.
+ * An event loop of one thread that knows when it last read all of its sockets. An attempt begins only behind a whole
+ * reading that started just before: in a loop that is late, a client's leaving waits in a socket that comes after the
+ * one that decided the attempt. Costs a send up to {@link #MOST_MORE} iterations of the loop and no wait.
  */
-final class Turns {
+final class ReadTrackingLoop {
     /** A client's leaving may be unseen for so long: a part of the 100 ms after which nothing may begin for it. */
     static final long FRESH_US = 25_000;
-    /** Where each turn takes longer than that, waiting for a quick one would wait for ever. */
+    /** Where each iteration takes longer than that, waiting for a quick one would wait for ever. */
     private static final int MOST_MORE = 2;
 
     private final Clock clock;
     private final ArrayDeque<Runnable> begins = new ArrayDeque<>();
-    private EventLoop loop;
+    private final MultiThreadIoEventLoopGroup group;
+    private final EventLoop loop;
     private boolean due;
     private int more;
     /** When the last whole reading began. */
     private long readUs;
 
-    Turns(Clock clock) {
+    ReadTrackingLoop(Clock clock) {
         this.clock = clock;
+        group = new MultiThreadIoEventLoopGroup(1, tracked(NioIoHandler.newFactory()));
+        loop = group.next();
     }
 
-    /** Whose turns these are: set once, before anything is to begin. */
-    void of(EventLoop owner) {
-        loop = owner;
+    Clock clock() {
+        return clock;
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    /** Ends the thread at once, with all that is open or scheduled on it. */
+    void end() {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
     }
 
     /** Runs {@code begin} once what the sockets have by now has been read, on the loop, which alone may call this. */
@@ -50,7 +63,7 @@
 
     private void begin() {
         if (clock.now() - readUs > FRESH_US && more++ < MOST_MORE) {
-            // Due at once, and yet only in the next turn, behind its reading.
+            // Due at once, and yet only in the next iteration, behind its reading.
             loop.schedule(this::begin, 1, TimeUnit.NANOSECONDS);
             return;
         }
@@ -65,7 +78,12 @@
         }
     }
 
-    IoHandlerFactory over(IoHandlerFactory sockets) {
+    /** When the last whole reading began, in module time: all that had come by then has been handled. */
+    long readUs() {
+        return readUs;
+    }
+
+    private IoHandlerFactory tracked(IoHandlerFactory sockets) {
         return new IoHandlerFactory() {
             @Override
             public IoHandler newHandler(ThreadAwareExecutor executor) {
--- a/src/main/java/rushproxy/sidecar/Rehearsal.java
+++ b/src/main/java/rushproxy/sidecar/Rehearsal.java
@@ -7,9 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -54,7 +52,7 @@
     private final Sidecar.Module module;
     private final CountDownLatch over = new CountDownLatch(1);
     private int begun;
-    private int answered;
+    private volatile int answered;
     private int quick;
     private final long quickNanos;
 
@@ -70,22 +68,25 @@
         over.countDown();
     }
 
-    /** Returns when enough was played, or at once where it can't be: without it a sidecar only starts slower. */
-    void play() {
-        MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        Sidecar second = null;
+    /**
+     * Returns how many requests were answered when that was enough, or at once where it can't be: without it a sidecar
+     * only starts slower.
+     */
+    int play() {
+        ReadTrackingLoop reads = new ReadTrackingLoop(new Clock());
         try {
-            EventLoop loop = group.next();
+            EventLoop loop = reads.loop();
             InetSocketAddress here = new InetSocketAddress(config.listen().getAddress(), 0);
             InetSocketAddress stage = (InetSocketAddress) new ServerBootstrap().group(loop)
-                    .channel(NioServerSocketChannel.class).childHandler(new ChannelInitializer<Channel>() {
+                    .channelFactory(NioServerSocketChannel::new).childHandler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
                             channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(Headers.MAX_BODY),
                                     new Stage());
                         }
                     }).bind(here).sync().channel().localAddress();
-            second = new Sidecar(config.elsewhere(here, stage, list(stage)), module);
+            Sidecar second = new Sidecar(config.elsewhere(here, stage, list(stage)), module, reads,
+                    Discovery.Patience.USUAL, Discovery.backoff());
             second.start();
             Bootstrap clients = Dialling.http(loop, 1_000, Headers.MAX_BODY, Client::new);
             for (int i = 0; i < CLIENTS; i++) {
@@ -95,11 +96,9 @@
         } catch (Exception e) {
             Log.trouble("no rehearsal", e);
         } finally {
-            if (second != null) {
-                second.end();
-            }
-            group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+            reads.end();
         }
+        return answered;
     }
 
     private static UpstreamList list(InetSocketAddress stage) {
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -1,13 +1,10 @@
 package rushproxy.sidecar;
 
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
-import java.lang.management.ManagementFactory;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -25,19 +22,18 @@
 
     /** Two parts of one answer are never so far apart. */
     private static final long STALL_LEAST_US = 10_000;
-    private static final long BEAT_MS = 50;
+    /** How late the loop is and what connections have been idle for too long is looked at so often. */
+    private static final long TICK_MS = 100;
     /** A line of totals in the log each 5 s: often enough to tell a bad stretch from the good ones around it. */
-    private static final int BEATS = 100;
+    private static final int TICKS = 50;
 
     private volatile Config config;
     private final Module module;
-    private final Clock clock = new Clock();
-    private final Turns turns = new Turns(clock);
-    private final MultiThreadIoEventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(1, turns.over(NioIoHandler.newFactory()));
-    private final EventLoop loop = group.next();
-    private final Vitals vitals = new Vitals(clock);
-    private final Decisions decisions = new Decisions(clock, vitals);
+    private final ReadTrackingLoop reads;
+    private final Clock clock;
+    private final EventLoop loop;
+    private final EventLoopMonitor monitor;
+    private final Decisions decisions;
     private final Totals totals = new Totals();
     private final Upstreams upstreams;
     private final Requests requests;
@@ -45,8 +41,8 @@
     private final Peers peers;
     private final ClientServer clients;
     private InetSocketAddress listening;
-    private long beatAtUs;
-    private long beats;
+    private long tickAtUs;
+    private long ticks;
 
     /** Makes the module that decides; its actions may be used from then on. */
     interface Module {
@@ -54,12 +50,18 @@
     }
 
     Sidecar(Config config, Module module) {
-        this(config, module, Discovery.Patience.USUAL, Discovery.backoff());
+        this(config, module, new ReadTrackingLoop(new Clock()), Discovery.Patience.USUAL, Discovery.backoff());
     }
 
-    Sidecar(Config config, Module module, Discovery.Patience patience, Backoff backoff) {
+    /** {@code reads} is the loop that owns all of its parts. */
+    Sidecar(Config config, Module module, ReadTrackingLoop reads, Discovery.Patience patience, Backoff backoff) {
         this.config = config;
         this.module = module;
+        this.reads = reads;
+        clock = reads.clock();
+        loop = reads.loop();
+        monitor = new EventLoopMonitor(clock);
+        decisions = new Decisions(clock, monitor);
         Balancer.Settings settings = config.settings();
         int most = Math.max(32, config.sockets() - OWN_DESCRIPTORS);
         // Clients may hold a third of all for their requests, and others come and say nothing. What they leave is for
@@ -67,8 +69,7 @@
         int fromClients = most * 5 / 8;
         // A quarter of that third for connections between requests: the rest is for requests in progress.
         int spare = config.sockets() / 12;
-        turns.of(loop);
-        upstreams = new Upstreams(loop, clock, turns, settings.limits().connIdleUs(), Upstreams.REST_US,
+        upstreams = new Upstreams(reads, settings.limits().connIdleUs(), Upstreams.REST_US,
                 settings.limits().dialTimeoutUs(), stallUs(settings), () -> most - openFromClients(), totals);
         requests = new Requests(loop, clock, decisions, upstreams, settings.limits().maxAttempts(), totals);
         discovery = new Discovery(loop, clock, decisions, upstreams, config.discovery(), config.known().generation(),
@@ -91,8 +92,8 @@
 
     /** Runs one sidecar until it is asked to end; only a start that fails returns. */
     public static int serve(Map<String, String> environment) throws InterruptedException {
-        long jvmMs = ManagementFactory.getRuntimeMXBean().getStartTime();
-        long calledMs = System.currentTimeMillis();
+        StartPhases phases = new StartPhases();
+        NettyEnvironment.prepare();
         Reload reload = new Reload(environment);
         Config config;
         try {
@@ -101,7 +102,7 @@
             Log.line(e.getMessage());
             return 2;
         }
-        long readMs = System.currentTimeMillis();
+        phases.done("settings");
         Module module = (c, now, actions) -> new Policy(c.settings(), c.seed(), now, actions);
         Sidecar sidecar = new Sidecar(config, module);
         Rehearsal rehearsal = new Rehearsal(config, module);
@@ -125,13 +126,12 @@
         }));
         Log.line(config.name() + " serves on " + sidecar.listening() + ", " + config.limits());
         reload.serving(sidecar);
-        long begunUs = sidecar.clock.now();
-        rehearsal.play();
+        phases.done("sockets and module");
+        int requests = rehearsal.play();
         sidecar.rehearsed();
+        phases.done("a rehearsal of " + requests + " requests");
         // Where a start takes long, one of these tells by what.
-        Log.line("ready after a rehearsal of " + (sidecar.clock.now() - begunUs) / 1000 + " ms; before it the Java machine took "
-                + (calledMs - jvmMs) + ", the settings " + (readMs - calledMs) + ", sockets and module "
-                + (begunUs / 1000 - readMs));
+        Log.line("ready after this start, in ms: " + phases);
         new CountDownLatch(1).await();
         return 0;
     }
@@ -149,26 +149,37 @@
             peers.listen(loop, config.peerListen());
         }
         listening = clients.listen(config.listen());
-        beatAtUs = clock.now();
-        loop.scheduleAtFixedRate(this::beat, BEAT_MS, BEAT_MS, TimeUnit.MILLISECONDS);
+        loop.execute(() -> {
+            monitor.start();
+            tickAtUs = clock.now();
+            loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+        });
     }
 
-    private void beat() {
+    private void tick() {
         long now = clock.now();
-        long lagUs = now - beatAtUs - BEAT_MS * 1000;
+        long lagUs = now - tickAtUs - TICK_MS * 1000;
         totals.lag(lagUs);
-        beatAtUs = now;
-        String late = vitals.beat(lagUs);
+        String late = monitor.tick(lagUs);
         if (late != null) {
             Log.line(late);
         }
-        if (++beats % BEATS == 0) {
-            String line = totals.line(requests.open(), clients.open(), upstreams.open());
-            if (line != null) {
-                Log.line(line);
-                vitals.did("the line of totals", now);
-            }
+        clients.sweep();
+        monitor.finished("the sweep of clients' connections", now);
+        if (++ticks % TICKS == 0) {
+            logTotals();
+        }
+        tickAtUs = clock.now();
+    }
+
+    private void logTotals() {
+        long begunUs = clock.now();
+        String line = totals.line(requests.open(), clients.open(), upstreams.open());
+        if (line != null) {
+            Log.line(line);
+            monitor.restart();
         }
+        monitor.finished("the line of totals", begunUs);
     }
 
     /** How many connections of clients and to upstreams are open or coming up. */
@@ -231,7 +242,7 @@
     /** Ends at once, whatever is held. */
     void end() {
         loop.execute(discovery::stop);
-        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        reads.end();
     }
 
     /** Carries out what the module decides. */
--- a/src/main/java/rushproxy/sidecar/UpstreamConnection.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamConnection.java
@@ -3,7 +3,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
-import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -39,7 +38,7 @@
     /** When a part of an answer came last. */
     private long readNanos;
     private boolean spoilt;
-    private boolean rested = true;
+    private long restUntilUs;
     /** An answer that has begun and then stops for this long does not end any more. */
     private final long stallUs;
 
@@ -59,19 +58,14 @@
         release = whenFree;
     }
 
-    /**
-     * Not to be used for so long, and then not before what came meanwhile has been read: the second timer falls into
-     * another turn of the loop, each of which reads before it looks at timers. A busy loop is late in both.
-     */
-    void rest(EventLoop loop, long us) {
-        rested = us <= 0;
-        if (!rested) {
-            loop.schedule(() -> loop.schedule(() -> rested = true, 1, TimeUnit.MILLISECONDS), us, TimeUnit.MICROSECONDS);
-        }
+    /** Not to be used before then, and not before what has come by then has been read: a busy loop is late in both. */
+    void restUntil(long timeUs) {
+        restUntilUs = timeUs;
     }
 
-    boolean rested() {
-        return rested;
+    /** {@code readUs} is when the last whole reading of the sockets began. */
+    boolean rested(long readUs) {
+        return readUs >= restUntilUs;
     }
 
     /** Nothing has come since the last answer: what comes next on it can only be meant for the next call. */
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -150,7 +150,7 @@
 
     private final EventLoop loop;
     private final Clock clock;
-    private final Turns turns;
+    private final ReadTrackingLoop reads;
     private long idleUs;
     private long stallUs;
     private final long restUs;
@@ -161,11 +161,11 @@
     private final Map<String, Target> targets = new HashMap<>();
     private int connections;
 
-    Upstreams(EventLoop loop, Clock clock, Turns turns, long connIdleUs, long restUs, long dialTimeoutUs,
+    Upstreams(ReadTrackingLoop reads, long connIdleUs, long restUs, long dialTimeoutUs,
               long stallUs, IntSupplier maxConnections, Totals totals) {
-        this.loop = loop;
-        this.clock = clock;
-        this.turns = turns;
+        this.reads = reads;
+        loop = reads.loop();
+        clock = reads.clock();
         this.maxConnections = maxConnections;
         this.totals = totals;
         this.restUs = restUs;
@@ -256,7 +256,7 @@
             return;
         }
         call.timeout = loop.schedule(call::timedOut, call.untilUs - now, TimeUnit.MICROSECONDS);
-        turns.onceRead(() -> begin(call));
+        reads.onceRead(() -> begin(call));
     }
 
     /** Unless it was withdrawn, or its upstream changed, while what else had come was read. */
@@ -286,7 +286,7 @@
         for (Iterator<Channel> i = t.idle.iterator(); i.hasNext(); ) {
             Channel c = i.next();
             boolean usable = usable(c, now);
-            if (usable && !connection(c).rested()) {
+            if (usable && !connection(c).rested(reads.readUs())) {
                 continue;
             }
             i.remove();
@@ -328,7 +328,7 @@
             } else if (!f.isSuccess()) {
                 call.broke();
             } else {
-                turns.onceRead(() -> {
+                reads.onceRead(() -> {
                     if (mayBegin(call)) {
                         write(call);
                     }
@@ -370,7 +370,7 @@
     private void release(Call call, Channel channel) {
         if (call.target.state == UpstreamState.READY && call.written) {
             connection(channel).idleSinceUs = clock.now();
-            connection(channel).rest(channel.eventLoop(), restUs);
+            connection(channel).restUntil(restUs > 0 ? clock.now() + restUs : 0);
             call.target.idle.addFirst(channel);
         } else {
             channel.close();
--- a/src/test/java/rushproxy/sidecar/EventLoopMonitorTest.java
+++ b/src/test/java/rushproxy/sidecar/EventLoopMonitorTest.java
@@ -5,22 +5,37 @@
 
 import org.junit.jupiter.api.Test;
 
-class VitalsTest {
-    /** Only a late beat is told, by what was longest since the one before, and not again within a second. */
+class EventLoopMonitorTest {
+    /** Only a late tick is told, by what was longest since the one before, and not again within a second. */
     @Test
-    void aLateBeatTellsWhatCameSinceTheOneBefore() {
+    void aLateTickTellsWhatCameSinceTheOneBefore() {
         Clock clock = new Clock();
-        Vitals vitals = new Vitals(clock);
-        vitals.did("before the first beat", clock.now() - 900_000);
-        assertNull(vitals.beat(300_000));
-        vitals.did("short", clock.now() - 2_000);
-        assertNull(vitals.beat(100_000));
-        vitals.did("long", clock.now() - 500_000);
-        vitals.did("short", clock.now() - 2_000);
-        String line = vitals.beat(300_000);
-        assertTrue(line.startsWith("the event loop was late by 300 ms: "), line);
-        assertTrue(line.contains("ms of compiling") && line.contains("classes loaded"), line);
-        assertTrue(line.contains("longest: long, 5"), line);
-        assertNull(vitals.beat(300_000));
+        EventLoopMonitor monitor = new EventLoopMonitor(clock);
+        monitor.finished("before the start", clock.now() - 900_000);
+        assertNull(monitor.tick(300_000));
+        monitor.start();
+        monitor.finished("short", clock.now() - 2_000);
+        assertNull(monitor.tick(100_000));
+        monitor.finished("long", clock.now() - 500_000);
+        monitor.finished("short", clock.now() - 2_000);
+        String line = monitor.tick(300_000);
+        assertTrue(line.startsWith("the event loop was late by 300 ms; longest: long, 5"), line);
+        assertNull(monitor.tick(300_000));
+    }
+
+    /** A loop that had no processor and one that was busy itself look alike but for this. */
+    @Test
+    void aLateTickTellsWhatTheThreadsRan() {
+        Clock clock = new Clock();
+        EventLoopMonitor monitor = new EventLoopMonitor(clock);
+        monitor.start();
+        long until = System.nanoTime() + 50_000_000;
+        long sum = 0;
+        while (System.nanoTime() < until) {
+            sum += until % 7;
+        }
+        assertTrue(sum > 0);
+        String line = monitor.tick(300_000);
+        assertTrue(line.matches(".* ms ([^,]+ ran \\d+ ms and waited \\d+ for a processor(, )?)+"), line);
     }
 }
--- a/src/test/java/rushproxy/sidecar/LeavingTest.java
+++ b/src/test/java/rushproxy/sidecar/LeavingTest.java
@@ -53,7 +53,7 @@
 
     /** The clients have left by now; their leaving has to be older than what may go unseen. */
     private void letGo(Peer.Client held) throws Exception {
-        Thread.sleep(2 * Turns.FRESH_US / 1000);
+        Thread.sleep(2 * ReadTrackingLoop.FRESH_US / 1000);
         goOn.release();
         assertEquals(502, held.status());
     }
--- a/src/test/java/rushproxy/sidecar/RequestsTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestsTest.java
@@ -5,8 +5,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.HttpMethod;
 import java.lang.reflect.Proxy;
 import java.nio.charset.StandardCharsets;
@@ -22,9 +20,9 @@
 /** Events that cross within one turn of the loop, where no connection can come up in between. */
 @Timeout(60)
 class RequestsTest {
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
     private final Clock clock = new Clock();
+    private final ReadTrackingLoop reads = new ReadTrackingLoop(clock);
+    private final EventLoop loop = reads.loop();
     private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
     private Requests requests;
     private Upstreams upstreams;
@@ -32,22 +30,21 @@
     @BeforeEach
     void start() throws Exception {
         loop.submit(() -> {
-            Decisions decisions = new Decisions(clock, new Vitals(clock));
+            Decisions decisions = new Decisions(clock, new EventLoopMonitor(clock));
             decisions.start(out -> (Balancer) Proxy.newProxyInstance(getClass().getClassLoader(),
                     new Class<?>[] {Balancer.class}, (self, method, arguments) -> {
                         told.add(method.getName() + (method.getName().equals("onOutcome")
                                 ? " " + arguments[1] + " " + arguments[4] + " " + arguments[6] : ""));
                         return null;
                     }), null);
-            Turns turns = Rig.turns(loop, clock);
-            upstreams = new Upstreams(loop, clock, turns, 15_000_000, 0, 2_000_000, 20_000, () -> 100, new Totals());
+            upstreams = new Upstreams(reads, 15_000_000, 0, 2_000_000, 20_000, () -> 100, new Totals());
             requests = new Requests(loop, clock, decisions, upstreams, 4, new Totals());
         }).sync();
     }
 
     @AfterEach
     void end() {
-        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        reads.end();
     }
 
     private Exchange exchange(String id) {
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -1,6 +1,5 @@
 package rushproxy.sidecar;
 
-import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
@@ -27,13 +26,6 @@
              "load_info":{"how":"inline","fields":["busy_reqs","pending","cpu_share"]},
              "something_new":{"a":[{"b":null}]}}""";
 
-    /** Of a loop whose readings nobody notes: what is to begin waits for as many as it ever does. */
-    static Turns turns(EventLoop loop, Clock clock) {
-        Turns turns = new Turns(clock);
-        turns.of(loop);
-        return turns;
-    }
-
     /** What the module does with a request. */
     interface OnRequest {
         void take(long now, Balancer.Request request, Balancer.Actions out);
@@ -137,7 +129,7 @@
         sidecar = new Sidecar(config, (c, now, out) -> {
             actions = out;
             return new Recorder();
-        }, patience, backoff);
+        }, new ReadTrackingLoop(new Clock()), patience, backoff);
         if (rehearsal != null) {
             sidecar.notReadyBefore(rehearsal);
         }
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -6,9 +6,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
@@ -23,14 +21,14 @@
 /** Connections and the list: everything here happens on one event loop, as in the program. */
 @Timeout(60)
 class UpstreamsTest {
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
     private final Clock clock = new Clock();
+    private final ReadTrackingLoop reads = new ReadTrackingLoop(clock);
+    private final EventLoop loop = reads.loop();
     private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
 
     @AfterEach
     void end() {
-        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+        reads.end();
     }
 
     private Upstreams upstreams(long idleUs, int most) throws Exception {
@@ -38,7 +36,7 @@
     }
 
     private Upstreams upstreams(long idleUs, int most, long restUs) throws Exception {
-        return loop.submit(() -> new Upstreams(loop, clock, Rig.turns(loop, clock), idleUs, restUs, 2_000_000, 20_000, () -> most, new Totals()))
+        return loop.submit(() -> new Upstreams(reads, idleUs, restUs, 2_000_000, 20_000, () -> most, new Totals()))
                 .get();
     }
 
