Answer what is owed before what is new after a late turn, and count the time a late loop let pass

Cause: after a turn that came late, new requests were read, decided and begun before the answers whose time was up, and their time counted from the read: one that had waited 0.5 s in its socket was believed to have that much left, was sent on, and was answered after its client had gone by. Change: owed answers go out, earliest deadline first, before a request is taken or a connection accepted, from one ordered set with one timer in place of a timer a request; a request's time counts from when the loop was to wake; one whose time is up is failed at once and the module not told; where the loop was late of late, answers leave as much earlier, up to a quarter of their time (15 ms at least, as before). Tests: LateLoopTest stops the loop for 0.6 s with requests, deadlines and bytes on real sockets; both tests fail with lateness taken as nothing and the order as it was.

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -33,7 +33,10 @@
 
 /** One connection of the application: its requests in turn, each taken whole and answered once. */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
-    /** An answer leaves this long before its client gives up, so that it is there in time on a busy core. */
+    /**
+     * An answer leaves at least this long before its client gives up, so that it is there in time on a busy core; where
+     * the loop was later than that of late, so much longer, up to a quarter of the time that there is.
+     */
     private static final long MARGIN_US = 15_000;
     /**
      * What may be sent ahead of its turn. Clients of the protocol send nothing ahead; who sends more than this gets its
@@ -49,6 +52,7 @@
     private static final long IDLE_US = 4_000_000;
 
     private final Channel channel;
+    private final ReadTrackingLoop reads;
     private final Clock clock;
     private final Requests requests;
     private final Map<String, RequestClass> classes;
@@ -75,9 +79,11 @@
         }
     }
 
-    ClientConnection(Channel channel, Clock clock, Requests requests, Map<String, RequestClass> classes, ClientServer server) {
+    ClientConnection(Channel channel, ReadTrackingLoop reads, Requests requests, Map<String, RequestClass> classes,
+                     ClientServer server) {
         this.channel = channel;
-        this.clock = clock;
+        this.reads = reads;
+        clock = reads.clock();
         this.requests = requests;
         this.classes = classes;
         this.server = server;
@@ -116,8 +122,8 @@
             return;
         }
         asked = true;
-        // Its time counts from its last byte, which came with this read.
-        Arrival arrival = new Arrival((FullHttpRequest) message, activeUs);
+        // Its time counts from its last byte, which came with this read, or earlier where the loop was late to read.
+        Arrival arrival = new Arrival((FullHttpRequest) message, activeUs - reads.lateUs());
         readingSinceUs = 0;
         ahead.add(arrival);
         aheadBytes += arrival.bytes();
@@ -183,8 +189,8 @@
         }
         // Nobody waits longer than the class allows; believed, a longer time would hold its request for days.
         long remainingUs = Math.min(remainingMs * 1000, lane.deadlineUs());
-        long deadline = Math.min(server.answerByUs(),
-                arrival.sentUs + remainingUs - Math.min(MARGIN_US, remainingUs / 4));
+        long marginUs = Math.min(Math.max(MARGIN_US, reads.recentLagUs()), remainingUs / 4);
+        long deadline = Math.min(server.answerByUs(), arrival.sentUs + remainingUs - marginUs);
         Request request = new Request(id, key(h.get(HttpHeaderNames.COOKIE)), "1".equals(h.get(Headers.RESENT)),
                 false, Math.max(0, HeaderValues.whole(word(h, Headers.ESTIMATE))), Math.max(1, deadline - clock.now()),
                 h.get(Headers.TENANT), lane.name());
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -41,6 +41,7 @@
     private static final long KILL_MS = 700 - 100;
     private static final long KILL_MOST_MS = 3_000;
 
+    private final ReadTrackingLoop reads;
     private final EventLoop loop;
     private final Requests requests;
     private final Clock clock;
@@ -64,10 +65,11 @@
     private int spare;
     private long acceptedUs;
 
-    ClientServer(EventLoop loop, Clock clock, Requests requests, List<RequestClass> classes, BooleanSupplier canServe,
+    ClientServer(ReadTrackingLoop reads, Requests requests, List<RequestClass> classes, BooleanSupplier canServe,
                  int maxConnections, BooleanSupplier roomForMore, int maxSpare, Totals totals) {
-        this.loop = loop;
-        this.clock = clock;
+        this.reads = reads;
+        loop = reads.loop();
+        clock = reads.clock();
         this.requests = requests;
         take(classes);
         this.canServe = canServe;
@@ -138,7 +140,8 @@
         // Not the field: clients that come at once are here before listen() has set it.
         ChannelConfig accepting = channel.parent().config();
         acceptedUs = clock.now();
-        ClientConnection connection = new ClientConnection(channel, clock, requests, classes, this);
+        requests.answerOverdue();
+        ClientConnection connection = new ClientConnection(channel, reads, requests, classes, this);
         connections.add(connection);
         totals.accepted();
         if (connections.size() >= maxConnections) {
--- a/src/main/java/rushproxy/sidecar/Exchange.java
+++ b/src/main/java/rushproxy/sidecar/Exchange.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.List;
 import rushproxy.Balancer.Request;
@@ -30,7 +29,6 @@
     /** When the module was told of it. */
     long takenUs;
     final List<Upstreams.Call> attempts = new ArrayList<>(1);
-    Future<?> overdue;
     boolean over;
 
     Exchange(Request request, HttpMethod method, String uri, String idempotencyKey, byte[] body, long deadlineUs,
--- a/src/main/java/rushproxy/sidecar/ReadTrackingLoop.java
+++ b/src/main/java/rushproxy/sidecar/ReadTrackingLoop.java
@@ -22,6 +22,11 @@
     static final long FRESH_US = 25_000;
     /** Where each iteration takes longer than that, waiting for a quick one would wait for ever. */
     private static final int MOST_MORE = 2;
+    /** A loop that is less late than this is not late: its timers are as exact as the system's. */
+    private static final long LATE_LEAST_US = 20_000;
+    /** What is left after each tick of what was the longest lag: half of it after some twenty ticks. */
+    private static final int LAG_FADES_BY = 32;
+    private static final long NEVER = -1;
 
     private final Clock clock;
     private final ArrayDeque<Runnable> begins = new ArrayDeque<>();
@@ -31,6 +36,9 @@
     private int more;
     /** When the last whole reading began. */
     private long readUs;
+    /** When the loop was to wake at the latest, by its own clock; {@link #NEVER} where nothing was due. */
+    private long wakeNanos = NEVER;
+    private long recentLagUs;
 
     ReadTrackingLoop(Clock clock) {
         this.clock = clock;
@@ -83,6 +91,25 @@
         return readUs;
     }
 
+    /**
+     * How long what is read now may have waited in its socket: the time by which the loop is behind its timers. Of a
+     * loop that had no processor the sockets themselves tell nothing. Zero where the loop is in time.
+     */
+    long lateUs() {
+        long us = wakeNanos == NEVER ? 0 : (loop.ticker().nanoTime() - wakeNanos) / 1000;
+        return us < LATE_LEAST_US ? 0 : us;
+    }
+
+    /** With each tick: by how much it was late. */
+    void ticked(long lagUs) {
+        recentLagUs = Math.max(lagUs, recentLagUs - recentLagUs / LAG_FADES_BY);
+    }
+
+    /** How late the loop was at most of late, fading with the ticks since. */
+    long recentLagUs() {
+        return recentLagUs;
+    }
+
     private IoHandlerFactory tracked(IoHandlerFactory sockets) {
         return new IoHandlerFactory() {
             @Override
@@ -108,6 +135,7 @@
         @Override
         public int run(IoHandlerContext context) {
             long begunUs = clock.now();
+            wakeNanos = context.deadlineNanos();
             int handled = sockets.run(context);
             readUs = begunUs;
             return handled;
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -6,9 +6,12 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.Future;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import rushproxy.Balancer.LoadReport;
 import rushproxy.Balancer.Outcome;
@@ -28,6 +31,11 @@
     private int maxAttempts;
     private final Totals totals;
     private final Map<String, Exchange> open = new HashMap<>();
+    /** Those without their answer, the earliest deadline first. */
+    private final TreeSet<Exchange> unanswered = new TreeSet<>(
+            Comparator.comparingLong((Exchange x) -> x.deadlineUs).thenComparing(x -> x.request.id()));
+    /** When the first of them is overdue, at the latest. Null where none is waited for. */
+    private Future<?> nextLook;
 
     Requests(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, int maxAttempts,
              Totals totals) {
@@ -52,11 +60,22 @@
         return open.size();
     }
 
+    /** What is owed already goes out before; one whose own time is up is answered at once, and the module not told. */
     void take(Exchange x) {
+        answerOverdue();
         x.takenUs = clock.now();
         totals.taken(x.request.requestClass());
+        if (x.takenUs >= x.deadlineUs) {
+            x.over = true;
+            totals.failed();
+            x.answer.failed();
+            return;
+        }
         open.put(x.request.id(), x);
-        x.overdue = loop.schedule(() -> overdue(x), x.deadlineUs + OVERDUE_US - clock.now(), TimeUnit.MICROSECONDS);
+        unanswered.add(x);
+        if (unanswered.first() == x) {
+            lookAt(x.deadlineUs + OVERDUE_US);
+        }
         decisions.call("a request", m -> m.onRequest(clock.now(), x.request), () -> fail(x));
     }
 
@@ -69,6 +88,32 @@
         }
     }
 
+    /**
+     * Answers what should have been answered by now, oldest deadline first. In a loop that was late this comes before
+     * anything else that waits: a short answer may still be in time where one behind a hundred requests is not.
+     */
+    void answerOverdue() {
+        long now = clock.now();
+        while (!unanswered.isEmpty() && unanswered.first().deadlineUs + OVERDUE_US <= now) {
+            overdue(unanswered.pollFirst());
+        }
+    }
+
+    private void lookAt(long timeUs) {
+        if (nextLook != null) {
+            nextLook.cancel(false);
+        }
+        nextLook = loop.schedule(this::look, timeUs - clock.now(), TimeUnit.MICROSECONDS);
+    }
+
+    private void look() {
+        nextLook = null;
+        answerOverdue();
+        if (!unanswered.isEmpty()) {
+            lookAt(unanswered.first().deadlineUs + OVERDUE_US);
+        }
+    }
+
     private void overdue(Exchange x) {
         if (!x.over) {
             fail(x);
@@ -179,7 +224,7 @@
         if (now - x.deadlineUs > LATE_US && x.takenUs < x.deadlineUs) {
             Log.line(x.story(now));
         }
-        x.overdue.cancel(false);
+        unanswered.remove(x);
         x.attempts.forEach(Upstreams.Call::withdraw);
         forgetIfSettled(x);
     }
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -75,7 +75,7 @@
         discovery = new Discovery(loop, clock, decisions, upstreams, config.discovery(), config.known().generation(),
                 !settings.discoveryOnRequest(), patience, backoff);
         peers = new Peers(clock, decisions, config.peers(), config.peersAll());
-        clients = new ClientServer(loop, clock, requests, settings.classes(),
+        clients = new ClientServer(reads, requests, settings.classes(),
                 () -> discovery.heard() && upstreams.anyReady(), fromClients,
                 () -> openFromClients() + upstreams.open() < most || upstreams.dropOldestIdle(), spare, totals);
     }
@@ -160,6 +160,7 @@
         long now = clock.now();
         long lagUs = now - tickAtUs - TICK_MS * 1000;
         totals.lag(lagUs);
+        reads.ticked(lagUs);
         String late = monitor.tick(lagUs);
         if (late != null) {
             Log.line(late);
--- /dev/null
+++ b/src/test/java/rushproxy/sidecar/LateLoopTest.java
@@ -0,0 +1,110 @@
+package rushproxy.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The event loop stands still for a while, with requests, deadlines and bytes waiting on real sockets. */
+@Timeout(60)
+class LateLoopTest {
+    private static final long STANDSTILL_MS = 600;
+    private static final long SHORT_MS = 300;
+    private static final long LONG_MS = 20_000;
+    /** The loop knows of its lateness by its tick, which was due within a tenth of a second. */
+    private static final long LEAST_KNOWN_MS = STANDSTILL_MS - 200;
+
+    @Test
+    void whatIsOwedGoesOutBeforeWhatIsNewAndWhatWaitedTooLongIsAnsweredAtOnce() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.upstream((m, line) -> line.answer("200 OK", "", "ok"));
+            rig.onRequest = (now, r, out) -> {
+                if (!r.id().startsWith("held")) {
+                    out.send(r.id(), "u0", 0);
+                }
+            };
+            rig.start();
+            try (Peer.Client first = rig.client(); Peer.Client second = rig.client(); Peer.Client tooLate = rig.client();
+                 Peer.Client inTime = rig.client()) {
+                first.send(Rig.get("held-1", SHORT_MS + 100));
+                rig.await("request held-1");
+                second.send(Rig.get("held-2", SHORT_MS));
+                rig.await("request held-2");
+                CountDownLatch standing = new CountDownLatch(1);
+                CountDownLatch goOn = new CountDownLatch(1);
+                rig.reads.loop().execute(() -> {
+                    standing.countDown();
+                    awaitUninterruptibly(goOn);
+                });
+                standing.await();
+                // Both wait in their sockets for as long as the loop stands still.
+                tooLate.send(Rig.get("short", SHORT_MS));
+                inTime.send(Rig.get("long", LONG_MS));
+                Thread.sleep(STANDSTILL_MS);
+                goOn.countDown();
+                assertEquals(502, first.status());
+                assertEquals(502, second.status());
+                assertEquals(502, tooLate.status());
+                assertEquals(200, inTime.status());
+                List<String> told = new ArrayList<>();
+                rig.told.drainTo(told);
+                int began = indexOf(told, "request long ");
+                assertTrue(indexOf(told, "expired held-2") < indexOf(told, "expired held-1"), told::toString);
+                assertTrue(indexOf(told, "expired held-1") < began, told::toString);
+                assertFalse(told.stream().anyMatch(line -> line.startsWith("request short")), told::toString);
+                long leftUs = Long.parseLong(told.get(began).split(" ")[2]);
+                assertTrue(leftUs <= (LONG_MS - LEAST_KNOWN_MS) * 1000, told::toString);
+            }
+        }
+    }
+
+    /** Where the loop was late by that much of late, answers leave so much earlier, up to a quarter of their time. */
+    @Test
+    void answersLeaveEarlierWhereTheLoopWasLate() throws Exception {
+        try (Rig rig = new Rig()) {
+            rig.onRequest = (now, r, out) -> { };
+            rig.start();
+            try (Peer.Client client = rig.client()) {
+                client.send(Rig.get("before", LONG_MS));
+                assertTrue(leftUs(rig.await("request before")) > (LONG_MS - 100) * 1000);
+                rig.reads.loop().submit(() -> rig.reads.ticked(1_000_000)).sync();
+            }
+            try (Peer.Client client = rig.client()) {
+                client.send(Rig.get("after", LONG_MS));
+                long leftUs = leftUs(rig.await("request after"));
+                assertTrue(leftUs < (LONG_MS - 700) * 1000, "left " + leftUs);
+            }
+            try (Peer.Client client = rig.client()) {
+                client.send(Rig.get("quarter", 400));
+                long leftUs = leftUs(rig.await("request quarter"));
+                assertTrue(leftUs <= 300_000, "left " + leftUs);
+            }
+        }
+    }
+
+    private static long leftUs(String told) {
+        return Long.parseLong(told.split(" ")[2]);
+    }
+
+    private static int indexOf(List<String> told, String start) {
+        for (int i = 0; i < told.size(); i++) {
+            if (told.get(i).startsWith(start)) {
+                return i;
+            }
+        }
+        throw new AssertionError("not told '" + start + "': " + told);
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -54,6 +54,7 @@
     Discovery.Patience patience = Discovery.Patience.USUAL;
     Backoff backoff = Discovery.backoff();
     private volatile Balancer.Actions actions;
+    final ReadTrackingLoop reads = new ReadTrackingLoop(new Clock());
 
     Rig(Peer.Script discovers) throws IOException {
         discovery = new Peer(discovers);
@@ -129,7 +130,7 @@
         sidecar = new Sidecar(config, (c, now, out) -> {
             actions = out;
             return new Recorder();
-        }, new ReadTrackingLoop(new Clock()), patience, backoff);
+        }, reads, patience, backoff);
         if (rehearsal != null) {
             sidecar.notReadyBefore(rehearsal);
         }
