Build the module's line of estimates without formats: it held the loop for 0.1 s every 5 s

Change: concatenation; the archive's recording run reads its configuration again, so that a reload's classes are in it.

--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Makes the class archive that `run` starts from. A sidecar is started with the Java flags of `run`, rehearses with
-# itself, so that all that serving needs is loaded, and is stopped; what it loaded then goes into one archive with the
-# JDK's own classes. Without an archive `run` only starts slower, so nothing here fails the build.
+# itself, reads its configuration again and is stopped, so that all that serving needs is loaded; what it loaded then
+# goes into one archive with the JDK's own classes. Without an archive `run` only starts slower, so nothing here fails
+# the build.
 cd "$(dirname "$0")/.." || exit 1
 archive=target/sidecar.jsa
 classes=target/sidecar.classes
@@ -15,6 +16,8 @@
     kill -0 "$sidecar" 2>/dev/null || break
     sleep 0.1
 done
+kill -HUP "$sidecar" 2>/dev/null
+sleep 0.5
 kill -TERM "$sidecar" 2>/dev/null
 wait "$sidecar"
 java -Xshare:dump -XX:+UseSerialGC -XX:SharedClassListFile="$classes" -XX:SharedArchiveFile="$archive" \
--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -483,15 +483,15 @@
     private void logState(long now) {
         if (now - loggedAt < LOG_US) return;
         loggedAt = now;
-        StringBuilder text = new StringBuilder(String.format(Locale.ROOT,
-                "rate %.0f of %.0f a second, waiting %d, held %.0f of %.0f on %.0f cores, %d peers heard,"
-                + " mean work %.0f us",
-                ownRate, fleetRate(), waiting.size(), held(now), fleetHeld(now), coresNow, heard, meanWork));
-        kinds.forEach((name, k) -> text.append(
-                String.format(Locale.ROOT, "; %s cores %.2f slow %.2f", name, k.cores, k.slow)));
+        StringBuilder text = new StringBuilder("rate " + Math.round(ownRate) + " of " + Math.round(fleetRate())
+                + " a second, waiting " + waiting.size() + ", held " + Math.round(held(now)) + " of "
+                + Math.round(fleetHeld(now)) + " on " + Math.round(coresNow) + " cores, " + heard
+                + " peers heard, mean work " + Math.round(meanWork) + " us");
+        kinds.forEach((name, k) -> text.append("; " + name + " cores " + Math.round(k.cores * 100) / 100.0
+                + " slow " + Math.round(k.slow * 100) / 100.0));
         for (Server s : ready) {
             String how = now < s.ejectedUntil ? " ejected" : warmth(s, now) < 1 ? " cold" : "";
-            text.append(String.format(Locale.ROOT, "; %s own %d apart %.2f%s", s.id, s.own(), s.apart, how));
+            text.append("; " + s.id + " own " + s.own() + " apart " + Math.round(s.apart * 100) / 100.0 + how);
         }
         out.log(text.toString());
     }
