--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -483,10 +483,10 @@
     private void logState(long now) {
         if (now - loggedAt < LOG_US) return;
         loggedAt = now;
-        StringBuilder text = new StringBuilder("rate " + Math.round(ownRate) + " of " + Math.round(fleetRate())
-                + " a second, waiting " + waiting.size() + ", held " + Math.round(held(now)) + " of "
-                + Math.round(fleetHeld(now)) + " on " + Math.round(coresNow) + " cores, " + heard
-                + " peers heard, mean work " + Math.round(meanWork) + " us");
+        StringBuilder text = new StringBuilder("rate " + Math.round(ownRate) + " of "
+                + Math.round(fleetRate()) + " a second, waiting " + waiting.size() + ", held "
+                + Math.round(held(now)) + " of " + Math.round(fleetHeld(now)) + " on " + Math.round(coresNow)
+                + " cores, " + heard + " peers heard, mean work " + Math.round(meanWork) + " us");
         kinds.forEach((name, k) -> text.append("; " + name + " cores " + Math.round(k.cores * 100) / 100.0
                 + " slow " + Math.round(k.slow * 100) / 100.0));
         for (Server s : ready) {
