--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -490,8 +490,8 @@
         kinds.forEach((name, k) -> text.append("; " + name + " cores " + Math.round(k.cores * 100) / 100.0
                 + " slow " + Math.round(k.slow * 100) / 100.0));
         for (Server s : ready) {
-            String how = now < s.ejectedUntil ? " ejected" : warmth(s, now) < 1 ? " cold" : "";
-            text.append("; " + s.id + " own " + s.own() + " apart " + Math.round(s.apart * 100) / 100.0 + how);
+            text.append("; " + s.id + " own " + s.own() + " apart " + Math.round(s.apart * 100) / 100.0)
+                    .append(now < s.ejectedUntil ? " ejected" : warmth(s, now) < 1 ? " cold" : "");
         }
         out.log(text.toString());
     }
