Keep errors to the work in which they arise, and never let the log's reader stop the loop

Cause: only runtime exceptions of the module were caught. A stack overflow, a class that did not load or memory that ran out in one request left it unanswered until its deadline (its connection reset, in the test), ended a timer that runs again and again for good, or ended main in the middle of a start while the event loop lived on, never ready. A line of the log was written by the loop itself, which stands still where the other end of the pipe is not read. Change: FaultBarrier around calls to the module, its actions, begins of attempts and repeated timers; a start that fails says so and ends the process.

--- a/src/main/java/rushproxy/Main.java
+++ b/src/main/java/rushproxy/Main.java
@@ -18,7 +18,8 @@
             System.exit(new SimHost(System.in, System.out, System.err).run());
         }
         if (args.length == 1 && args[0].equals("serve")) {
-            System.exit(Sidecar.serve(System.getenv()));
+            // Not by exit, which would wait for a good end of what never began.
+            Runtime.getRuntime().halt(Sidecar.serve(System.getenv()));
         }
         if (args.length > 0 && args[0].equals("scale")) {
             System.exit(new CommandLine(new ScaleCommand()).execute(Arrays.copyOfRange(args, 1, args.length)));
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -201,7 +201,20 @@
         look(stopped);
     }
 
+    /** Again and again until all is closed, whatever fails meanwhile: else the process would never end. */
     private void look(Runnable stopped) {
+        boolean[] done = new boolean[1];
+        FaultBarrier.passes("a look at what is still open", () -> done[0] = closeWhatIsQuiet());
+        if (done[0]) {
+            Log.line("all clients' connections are closed");
+            stopped.run();
+        } else {
+            loop.schedule(() -> look(stopped), LOOK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** True once nothing is open any more. */
+    private boolean closeWhatIsQuiet() {
         long now = clock.now();
         if (now >= stopAtUs) {
             // Closing the listener would reset what waits in its backlog: only once none has come for a while, in which
@@ -217,12 +230,7 @@
             for (ClientConnection c : Set.copyOf(connections)) {
                 c.closeIfQuiet(now - QUIET_MS * 1000, now - longestUs);
             }
-            if (connections.isEmpty() && !listener.isOpen()) {
-                Log.line("all clients' connections are closed");
-                stopped.run();
-                return;
-            }
         }
-        loop.schedule(() -> look(stopped), LOOK_MS, TimeUnit.MILLISECONDS);
+        return now >= stopAtUs && connections.isEmpty() && !listener.isOpen();
     }
 }
--- a/src/main/java/rushproxy/sidecar/Decisions.java
+++ b/src/main/java/rushproxy/sidecar/Decisions.java
@@ -33,10 +33,7 @@
     void call(String event, Consumer<Balancer> call, Runnable broken) {
         calls.add(() -> {
             long begunUs = clock.now();
-            try {
-                call.accept(module);
-            } catch (RuntimeException e) {
-                Log.trouble("the module failed", e);
+            if (!FaultBarrier.passes("the module", () -> call.accept(module))) {
                 actions.add(broken);
             }
             monitor.finished(event, begunUs);
@@ -53,11 +50,7 @@
                 call.run();
                 for (Runnable action; (action = actions.poll()) != null; ) {
                     long begunUs = clock.now();
-                    try {
-                        action.run();
-                    } catch (RuntimeException e) {
-                        Log.trouble("an action failed", e);
-                    }
+                    FaultBarrier.passes("an action", action);
                     monitor.finished("carrying out a decision", begunUs);
                 }
             }
--- a/src/main/java/rushproxy/sidecar/ReadTrackingLoop.java
+++ b/src/main/java/rushproxy/sidecar/ReadTrackingLoop.java
@@ -78,11 +78,7 @@
         due = false;
         more = 0;
         for (int left = begins.size(); left > 0; left--) {
-            try {
-                begins.poll().run();
-            } catch (RuntimeException e) {
-                Log.trouble("an attempt could not begin", e);
-            }
+            FaultBarrier.passes("the beginning of an attempt", begins.poll());
         }
     }
 
--- a/src/main/java/rushproxy/sidecar/Rehearsal.java
+++ b/src/main/java/rushproxy/sidecar/Rehearsal.java
@@ -88,7 +88,7 @@
                 clients.connect(second.listening());
             }
             over.await(LONGEST_MS, TimeUnit.MILLISECONDS);
-        } catch (Exception e) {
+        } catch (Exception | Error e) {
             Log.trouble("no rehearsal", e);
         } finally {
             reads.end();
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -108,7 +108,7 @@
 
     private void look() {
         nextLook = null;
-        answerOverdue();
+        FaultBarrier.passes("an overdue answer", this::answerOverdue);
         if (!unanswered.isEmpty()) {
             lookAt(unanswered.first().deadlineUs + OVERDUE_US);
         }
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -90,8 +90,20 @@
         return Math.max(STALL_LEAST_US, aim / 4);
     }
 
-    /** Runs one sidecar until it is asked to end; only a start that fails returns. */
+    /** Runs one sidecar until it is asked to end; only a start that fails returns, with the exit code of the process. */
     public static int serve(Map<String, String> environment) throws InterruptedException {
+        int status = 1;
+        try {
+            status = start(environment);
+        } catch (RuntimeException | Error e) {
+            // Its event loop would go on without ever being ready.
+            Log.trouble("can't start", e);
+        }
+        Log.drain();
+        return status;
+    }
+
+    private static int start(Map<String, String> environment) throws InterruptedException {
         StartPhases phases = new StartPhases();
         NettyEnvironment.prepare();
         Reload reload = new Reload(environment);
@@ -118,6 +130,7 @@
             sidecar.stop(empty::countDown);
             try {
                 empty.await();
+                Log.drain();
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
@@ -152,7 +165,8 @@
         loop.execute(() -> {
             monitor.start();
             tickAtUs = clock.now();
-            loop.scheduleWithFixedDelay(this::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+            loop.scheduleWithFixedDelay(() -> FaultBarrier.passes("a tick", this::tick), TICK_MS, TICK_MS,
+                    TimeUnit.MILLISECONDS);
         });
     }
 
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -171,7 +171,8 @@
         this.restUs = restUs;
         bootstrap = Dialling.tcp(loop, 1, channel -> UpstreamConnection.on(channel, this.stallUs));
         allow(connIdleUs, dialTimeoutUs, stallUs);
-        loop.scheduleWithFixedDelay(this::dropIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(() -> FaultBarrier.passes("the sweep of idle connections", this::dropIdle), SWEEP_MS,
+                SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
     /** For connections from now on, but the idle time, which ends those too that are idle now. */
