--- a/src/main/java/rushproxy/Main.java
+++ b/src/main/java/rushproxy/Main.java
@@ -2,13 +2,13 @@
 
 import java.util.Arrays;
 import picocli.CommandLine;
-import rushproxy.hollow.ScaleCommand;
 import rushproxy.sidecar.Sidecar;
+import rushproxy.simulation.ScaleCommand;
 import rushproxy.wire.SimHost;
 
 /**
- * Command line: {@code serve} runs a sidecar, {@code simhost} hosts many instances on the simulator's wire, {@code scale}
- * measures what fleets cost.
+ * Command line: {@code serve} runs a sidecar, {@code simhost} hosts many instances on the simulator's wire,
+ * {@code scale} measures what fleets cost.
  */
 public final class Main {
     private Main() {}
--- a/src/main/java/rushproxy/PeerWord.java
+++ b/src/main/java/rushproxy/PeerMessage.java
@@ -3,7 +3,7 @@
 import java.nio.ByteBuffer;
 
 /** What one sidecar tells another, and its bytes: plain data, used by {@link Policy}. */
-final class PeerWord {
+final class PeerMessage {
     /** The sender's zone, by its number in the settings. */
     int zone;
     /** Requests a second that come to the sender. */
@@ -12,12 +12,13 @@
     double held;
     /** Of each kind the slowness, the cores and the number of answers behind them. */
     final double[] slow;
+
     final double[] cores;
     final int[] answers;
     /** Idle connections are dropped after about this long; 0 where nothing was seen of it. */
     long idleLimitUs;
 
-    PeerWord(int kinds) {
+    PeerMessage(int kinds) {
         slow = new double[kinds];
         cores = new double[kinds];
         answers = new int[kinds];
@@ -31,7 +32,9 @@
         ByteBuffer b = ByteBuffer.allocate(length());
         b.put((byte) Math.min(255, zone)).putShort(unsigned(rate * 8)).putShort(unsigned(held));
         for (int i = 0; i < slow.length; i++) {
-            b.putShort(unsigned(slow[i] * 256)).putShort(unsigned(cores[i] * 256)).put((byte) Math.min(255, answers[i]));
+            b.putShort(unsigned(slow[i] * 256))
+                    .putShort(unsigned(cores[i] * 256))
+                    .put((byte) Math.min(255, answers[i]));
         }
         return b.putShort(unsigned(idleLimitUs / 1000.0)).array();
     }
--- a/src/main/java/rushproxy/Policy.java
+++ b/src/main/java/rushproxy/Policy.java
@@ -1123,7 +1123,7 @@
         telling = cfg.limits().peers() && cfg.balancers() > 1;
         if (!telling) return;
         measure(now);
-        PeerWord word = new PeerWord(cfg.kinds().size());
+        PeerMessage word = new PeerMessage(cfg.kinds().size());
         word.zone = home;
         word.rate = ownRate;
         word.held = held(now);
@@ -1153,7 +1153,7 @@
     @Override
     public void onPeer(long now, int peer, byte[] message) {
         boolean known = peer >= 0 && peer < cfg.balancers() && peer != cfg.me();
-        PeerWord word = new PeerWord(cfg.kinds().size());
+        PeerMessage word = new PeerMessage(cfg.kinds().size());
         if (!known || !word.read(message) || word.zone >= zoneRate.length) return;
         Peer p = peers[peer] == null ? peers[peer] = new Peer() : peers[peer];
         double quotas = cfg.tenants().stream().mapToDouble(Tenant::quotaPerSecond).sum();
--- a/src/main/java/rushproxy/sidecar/Backoff.java
+++ b/src/main/java/rushproxy/sidecar/Backoff.java
@@ -11,6 +11,7 @@
     private final long mostUs;
     /** A random number from 0 up to, not including, the one given. */
     private final LongUnaryOperator random;
+
     private int failures;
 
     Backoff(long leastUs, long mostUs, LongUnaryOperator random) {
--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -45,6 +45,7 @@
     private static final int MOST_AHEAD_BYTES = 4 * Headers.MAX_BODY;
     /** What a request takes beside its body. */
     private static final int OVERHEAD_BYTES = 1024;
+
     private static final int KEY_BITS = 53;
     /** Applications send at once what they send: a request not whole after this long is none. */
     private static final long WHOLE_US = 2_000_000;
@@ -61,12 +62,14 @@
     private int aheadBytes;
     /** When the request being read sent its first byte; 0 between requests. */
     private long readingSinceUs;
+
     private long activeUs;
     private Exchange current;
     private boolean busy;
     private boolean asked;
     /** Open between requests, and counted as such. */
     private boolean spare;
+
     private final long openedUs;
     /** What to say after the answers that are owed, before the end; nothing behind it is read. Null: goes on. */
     private HttpResponseStatus last;
@@ -79,8 +82,12 @@
         }
     }
 
-    ClientConnection(Channel channel, ReadTrackingLoop reads, Requests requests, Map<String, RequestClass> classes,
-                     ClientServer server) {
+    ClientConnection(
+            Channel channel,
+            ReadTrackingLoop reads,
+            Requests requests,
+            Map<String, RequestClass> classes,
+            ClientServer server) {
         this.channel = channel;
         this.reads = reads;
         clock = reads.clock();
@@ -191,27 +198,39 @@
         long remainingUs = Math.min(remainingMs * 1000, lane.deadlineUs());
         long marginUs = Math.min(Math.max(MARGIN_US, reads.recentLagUs()), remainingUs / 4);
         long deadline = Math.min(server.answerByUs(), arrival.sentUs + remainingUs - marginUs);
-        Request request = new Request(id, key(h.get(HttpHeaderNames.COOKIE)), "1".equals(h.get(Headers.RESENT)),
-                false, Math.max(0, HeaderValues.whole(word(h, Headers.ESTIMATE))), Math.max(1, deadline - clock.now()),
-                h.get(Headers.TENANT), lane.name());
+        Request request = new Request(
+                id,
+                key(h.get(HttpHeaderNames.COOKIE)),
+                "1".equals(h.get(Headers.RESENT)),
+                false,
+                Math.max(0, HeaderValues.whole(word(h, Headers.ESTIMATE))),
+                Math.max(1, deadline - clock.now()),
+                h.get(Headers.TENANT),
+                lane.name());
         boolean keepAlive = HttpUtil.isKeepAlive(m);
-        current = new Exchange(request, m.method(), m.uri(), h.get(Headers.IDEMPOTENCY_KEY),
-                ByteBufUtil.getBytes(m.content()), deadline, new Exchange.Answer() {
-            @Override
-            public void served(ByteBuf body) {
-                write(keepAlive, HttpResponseStatus.OK, body, 0);
-            }
+        current = new Exchange(
+                request,
+                m.method(),
+                m.uri(),
+                h.get(Headers.IDEMPOTENCY_KEY),
+                ByteBufUtil.getBytes(m.content()),
+                deadline,
+                new Exchange.Answer() {
+                    @Override
+                    public void served(ByteBuf body) {
+                        write(keepAlive, HttpResponseStatus.OK, body, 0);
+                    }
 
-            @Override
-            public void refused(long retryAfterUs) {
-                write(keepAlive, HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER, retryAfterUs);
-            }
+                    @Override
+                    public void refused(long retryAfterUs) {
+                        write(keepAlive, HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER, retryAfterUs);
+                    }
 
-            @Override
-            public void failed() {
-                write(keepAlive, HttpResponseStatus.BAD_GATEWAY, Unpooled.EMPTY_BUFFER, 0);
-            }
-        });
+                    @Override
+                    public void failed() {
+                        write(keepAlive, HttpResponseStatus.BAD_GATEWAY, Unpooled.EMPTY_BUFFER, 0);
+                    }
+                });
         server.taken();
         requests.take(current);
     }
@@ -227,9 +246,14 @@
         boolean safe = lane.semantics() == Semantics.SAFE;
         boolean keyed = lane.semantics() == Semantics.KEYED;
         List<String> keys = m.headers().getAll(Headers.IDEMPOTENCY_KEY);
-        boolean keyFits = keys.isEmpty() ? !keyed : !word(m.headers(), Headers.IDEMPOTENCY_KEY).isEmpty();
-        return m.method().equals(safe ? HttpMethod.GET : HttpMethod.POST) && !(safe && m.content().isReadable())
-                && keyFits && HeaderValues.isTarget(m.uri()) && m.protocolVersion().majorVersion() == 1;
+        boolean keyFits = keys.isEmpty()
+                ? !keyed
+                : !word(m.headers(), Headers.IDEMPOTENCY_KEY).isEmpty();
+        return m.method().equals(safe ? HttpMethod.GET : HttpMethod.POST)
+                && !(safe && m.content().isReadable())
+                && keyFits
+                && HeaderValues.isTarget(m.uri())
+                && m.protocolVersion().majorVersion() == 1;
     }
 
     private static long key(String cookies) {
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -27,6 +27,7 @@
     private static final long SERVE_ON_MS = 600;
     /** A connection this young or this busy may have a request on its way. */
     private static final long QUIET_MS = 150;
+
     private static final long LOOK_MS = 20;
     /** Reads in a row from one connection: all that clients send ahead, and the end that stands behind it. */
     private static final int READS = 64;
@@ -39,6 +40,7 @@
      * a request that comes in the meantime needs its answer before. A part of it is left for the answer's way.
      */
     private static final long KILL_MS = 700 - 100;
+
     private static final long KILL_MOST_MS = 3_000;
 
     private final ReadTrackingLoop reads;
@@ -52,21 +54,32 @@
     private final BooleanSupplier roomForMore;
     /** The most connections of clients that are kept open between requests. */
     private final int maxSpare;
+
     private final Totals totals;
     /** No client waits longer than this for an answer. */
     private long longestUs;
+
     private final Set<ClientConnection> connections = new HashSet<>();
     private Channel listener;
     /** Null but while a rehearsal is on. */
     private Runnable rehearsal;
+
     private long stopAtUs;
     /** The latest time for an answer to what comes from now on. */
     private long answerByUs = Long.MAX_VALUE;
+
     private int spare;
     private long acceptedUs;
 
-    ClientServer(ReadTrackingLoop reads, Requests requests, List<RequestClass> classes, BooleanSupplier canServe,
-                 int maxConnections, BooleanSupplier roomForMore, int maxSpare, Totals totals) {
+    ClientServer(
+            ReadTrackingLoop reads,
+            Requests requests,
+            List<RequestClass> classes,
+            BooleanSupplier canServe,
+            int maxConnections,
+            BooleanSupplier roomForMore,
+            int maxSpare,
+            Totals totals) {
         this.reads = reads;
         loop = reads.loop();
         clock = reads.clock();
@@ -79,7 +92,9 @@
         this.totals = totals;
     }
 
-    /** Requests whose first attempt or answer is still to come keep the class, and the deadline, they were taken with. */
+    /**
+     * Requests whose first attempt or answer is still to come keep the class, and the deadline, they were taken with.
+     */
     void take(List<RequestClass> known) {
         classes.clear();
         known.forEach(c -> classes.put(c.name(), c));
@@ -92,19 +107,27 @@
     }
 
     InetSocketAddress listen(InetSocketAddress address) throws InterruptedException {
-        listener = new ServerBootstrap().group(loop).channelFactory(NioServerSocketChannel::new)
+        listener = new ServerBootstrap()
+                .group(loop)
+                .channelFactory(NioServerSocketChannel::new)
                 .option(ChannelOption.SO_BACKLOG, 256)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 // A short read is no end of what there is: behind it may stand the end of the connection.
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator()
-                        .respectMaybeMoreData(false).maxMessagesPerRead(READS))
+                .childOption(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator()
+                                .respectMaybeMoreData(false)
+                                .maxMessagesPerRead(READS))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         accepted(channel);
                     }
-                }).bind(address).sync().channel();
+                })
+                .bind(address)
+                .sync()
+                .channel();
         return (InetSocketAddress) listener.localAddress();
     }
 
@@ -153,8 +176,13 @@
             connections.remove(connection);
             accepting.setAutoRead(takesOneMore());
         });
-        channel.pipeline().addLast(connection.arrivals(), new RequestDecoder(), new HttpResponseEncoder(),
-                new RequestBodies(connection::nothingOwed), connection);
+        channel.pipeline()
+                .addLast(
+                        connection.arrivals(),
+                        new RequestDecoder(),
+                        new HttpResponseEncoder(),
+                        new RequestBodies(connection::nothingOwed),
+                        connection);
     }
 
     /** Where it stops, none comes that could use up more than its part: what waits in the backlog is the last. */
@@ -164,12 +192,16 @@
 
     /** One between requests goes: first who has never asked, then who asked longest ago. Neither right after coming. */
     private void makeRoom(long now) {
-        Optional<ClientConnection> idle = connections.stream().filter(c -> c.idleFor(now) > FRESH_US)
+        Optional<ClientConnection> idle = connections.stream()
+                .filter(c -> c.idleFor(now) > FRESH_US)
                 .min(Comparator.comparing(ClientConnection::hasAsked).thenComparing(ClientConnection::activeUs));
         idle.ifPresent(ClientConnection::close);
     }
 
-    /** Some times a second: who says nothing, or only half of something, or nothing more, holds a descriptor that others need. */
+    /**
+     * Some times a second: who says nothing, or only half of something, or nothing more, holds a descriptor that others
+     * need.
+     */
     void sweep() {
         long now = clock.now();
         List.copyOf(connections).forEach(c -> c.expire(now));
@@ -223,7 +255,9 @@
             if (!accepting) {
                 acceptedUs = now;
             }
-            if (listener.isOpen() && accepting && (now - acceptedUs >= QUIET_MS * 1000 || now >= stopAtUs + LISTEN_ON_MS * 1000)) {
+            if (listener.isOpen()
+                    && accepting
+                    && (now - acceptedUs >= QUIET_MS * 1000 || now >= stopAtUs + LISTEN_ON_MS * 1000)) {
                 listener.close();
                 Log.line("listens no more: " + connections.size() + " clients' connections");
             }
--- a/src/main/java/rushproxy/sidecar/Config.java
+++ b/src/main/java/rushproxy/sidecar/Config.java
@@ -15,12 +15,21 @@
 import rushproxy.wire.WireException;
 
 /**
- * What a sidecar is told at its start. {@code peerListen} and {@code peersAll} are null where there are none; {@code words}
- * are those that the settings were read from.
+ * What a sidecar is told at its start. {@code peerListen} and {@code peersAll} are null where there are none;
+ * {@code words} are those that the settings were read from.
  */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
-              InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
-              UpstreamList known, Map<String, String> words, Settings settings) {
+record Config(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        long seed,
+        int sockets,
+        InetSocketAddress peerListen,
+        List<InetSocketAddress> peers,
+        InetSocketAddress peersAll,
+        UpstreamList known,
+        Map<String, String> words,
+        Settings settings) {
 
     /** A configuration that no sidecar can start with; the message is one line and names the field. */
     static final class Broken extends Exception {
@@ -46,8 +55,10 @@
 
     /** The bounds that an operator compares with what a sidecar needs. */
     String limits() {
-        return sockets + " descriptors, " + settings.classes().stream().map(c -> c.name() + " wanted within "
-                + c.aimUs() / 1000 + " ms of " + c.deadlineUs() / 1000).collect(Collectors.joining(", "));
+        return sockets + " descriptors, "
+                + settings.classes().stream()
+                        .map(c -> c.name() + " wanted within " + c.aimUs() / 1000 + " ms of " + c.deadlineUs() / 1000)
+                        .collect(Collectors.joining(", "));
     }
 
     static Config read(Map<String, String> environment) throws Broken {
@@ -96,10 +107,18 @@
             peers.add(address("peers", peer));
         }
         int sockets = (int) (json.has("limits") ? json.object("limits").numberOr("sockets", 1024) : 1024);
-        return new Config(name, told(json, environment, "listen", "BALANCER_LISTEN"),
-                told(json, environment, "discovery", "BALANCER_DISCOVERY"), seed(json.text("seed")), sockets,
-                optional(json, "peer_listen"), peers, optional(json, "peers_all"),
-                known(json), words, settings);
+        return new Config(
+                name,
+                told(json, environment, "listen", "BALANCER_LISTEN"),
+                told(json, environment, "discovery", "BALANCER_DISCOVERY"),
+                seed(json.text("seed")),
+                sockets,
+                optional(json, "peer_listen"),
+                peers,
+                optional(json, "peers_all"),
+                known(json),
+                words,
+                settings);
     }
 
     private static UpstreamList known(Json json) {
--- a/src/main/java/rushproxy/sidecar/Dialling.java
+++ b/src/main/java/rushproxy/sidecar/Connector.java
@@ -13,18 +13,21 @@
 import java.util.function.Supplier;
 
 /** How this program opens HTTP connections, to upstreams and to discovery alike. */
-final class Dialling {
-    private Dialling() {}
+final class Connector {
+    private Connector() {}
 
     /** Each connection gets a handler of its own, which sees whole answers of at most {@code maxBody} bytes. */
     static Bootstrap http(EventLoop loop, int connectMs, int maxBody, Supplier<ChannelHandler> handler) {
-        return tcp(loop, connectMs, channel -> channel.pipeline().addLast(new HttpClientCodec(),
-                new HttpObjectAggregator(maxBody), handler.get()));
+        return tcp(loop, connectMs, channel -> channel.pipeline()
+                .addLast(new HttpClientCodec(), new HttpObjectAggregator(maxBody), handler.get()));
     }
 
     /** {@code equip} gives each new connection its handlers. */
     static Bootstrap tcp(EventLoop loop, int connectMs, Consumer<Channel> equip) {
-        return new Bootstrap().group(loop).channelFactory(NioSocketChannel::new).disableResolver()
+        return new Bootstrap()
+                .group(loop)
+                .channelFactory(NioSocketChannel::new)
+                .disableResolver()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectMs)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInitializer<Channel>() {
--- a/src/main/java/rushproxy/sidecar/Decisions.java
+++ b/src/main/java/rushproxy/sidecar/Decisions.java
@@ -6,9 +6,9 @@
 import rushproxy.Balancer;
 
 /**
- * The module and the one way in and out of it. What the module does during a call is kept until the call has
- * returned: no action re-enters it. An exception, the module's or a handler's, is logged and ends neither the
- * program nor what waits behind it.
+ * The module and the one way in and out of it. What the module does during a call is kept until the call has returned:
+ * no action re-enters it. An exception, the module's or a handler's, is logged and ends neither the program nor what
+ * waits behind it.
  */
 final class Decisions {
     private final ArrayDeque<Runnable> calls = new ArrayDeque<>();
@@ -24,8 +24,8 @@
     }
 
     /** {@code build} makes the module, which may act from its constructor on. */
-    void start(Function<Balancer.Actions, Balancer> build, Balancer.Actions hands) {
-        calls.add(() -> module = build.apply(later(hands)));
+    void start(Function<Balancer.Actions, Balancer> build, Balancer.Actions executor) {
+        calls.add(() -> module = build.apply(later(executor)));
         run();
     }
 
@@ -59,56 +59,56 @@
         }
     }
 
-    private Balancer.Actions later(Balancer.Actions hands) {
+    private Balancer.Actions later(Balancer.Actions executor) {
         return new Balancer.Actions() {
             @Override
             public void send(String request, String upstream, long untilUs) {
-                actions.add(() -> hands.send(request, upstream, untilUs));
+                actions.add(() -> executor.send(request, upstream, untilUs));
             }
 
             @Override
             public void refuse(String request, long retryAfterUs) {
-                actions.add(() -> hands.refuse(request, retryAfterUs));
+                actions.add(() -> executor.refuse(request, retryAfterUs));
             }
 
             @Override
             public void fail(String request) {
-                actions.add(() -> hands.fail(request));
+                actions.add(() -> executor.fail(request));
             }
 
             @Override
             public void cancel(String request, int attempt) {
-                actions.add(() -> hands.cancel(request, attempt));
+                actions.add(() -> executor.cancel(request, attempt));
             }
 
             @Override
             public void probe(String upstream) {
-                actions.add(() -> hands.probe(upstream));
+                actions.add(() -> executor.probe(upstream));
             }
 
             @Override
             public void subscribe() {
-                actions.add(hands::subscribe);
+                actions.add(executor::subscribe);
             }
 
             @Override
             public void tell(int peer, byte[] message) {
-                actions.add(() -> hands.tell(peer, message));
+                actions.add(() -> executor.tell(peer, message));
             }
 
             @Override
             public void close(String upstream) {
-                actions.add(() -> hands.close(upstream));
+                actions.add(() -> executor.close(upstream));
             }
 
             @Override
             public void timer(String mark, long delayUs) {
-                actions.add(() -> hands.timer(mark, delayUs));
+                actions.add(() -> executor.timer(mark, delayUs));
             }
 
             @Override
             public void log(String text) {
-                actions.add(() -> hands.log(text));
+                actions.add(() -> executor.log(text));
             }
         };
     }
--- a/src/main/java/rushproxy/sidecar/Discovery.java
+++ b/src/main/java/rushproxy/sidecar/Discovery.java
@@ -24,23 +24,26 @@
 /**
  * The watch on discovery: one call after the other without a gap. What the agent has counts as told, whether or not a
  * watch is open: so one that breaks or falls silent is opened anew at once, and the first call of all does not wait.
- * Where the module asks for the list, failures are told to it, and it decides when to ask again; the list it has
- * still holds.
+ * Where the module asks for the list, failures are told to it, and it decides when to ask again; the list it has still
+ * holds.
  */
 final class Discovery {
     private static final String PATH = "/registry/instances";
     /** A list of some thousand upstreams; more is no list. */
     private static final int MAX_ANSWER = 1 << 20;
+
     private static final int CONNECT_MS = 1_000;
-    /** A watch lasts while its calls follow within 200 ms; discovery that answers at once is not called without pause. */
+    /**
+     * A watch lasts while its calls follow within 200 ms; discovery that answers at once is not called without pause.
+     */
     private static final long PACE_MS = 50;
     /** Pauses after failed calls: the longest is a part of the time that any grace after a notice allows. */
     private static final long AGAIN_US = 25_000, AGAIN_MOST_US = 100_000;
 
     /**
      * How long calls are waited for. A silent watch is broken, and what it misses counts as told 6 s after it fell
-     * silent, or 2 s after its wait is over: a short wait and little patience leave most of that for asking anew.
-     * The agent, on this machine, answers at once what need not wait; one that does not is asked again, ever more
+     * silent, or 2 s after its wait is over: a short wait and little patience leave most of that for asking anew. The
+     * agent, on this machine, answers at once what need not wait; one that does not is asked again, ever more
      * patiently, as a long list to a busy sidecar may take its time.
      */
     record Patience(long waitMs, long silentMs, long promptMs) {
@@ -70,17 +73,27 @@
     private boolean fresh = true;
     /** The module has asked and waits for an answer, be it one without changes. */
     private boolean asked;
+
     private Channel channel;
     private Future<?> timeout;
     /** Number of the call that is out; 0 while none is. What belongs to another is stale. */
     private long call;
+
     private long calls;
     private long begunUs;
     /** Where lists are pushed the module asks for nothing: the watch is this class's own. */
     private final boolean pushed;
 
-    Discovery(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, InetSocketAddress address,
-              long generation, boolean pushed, Patience patience, Backoff backoff) {
+    Discovery(
+            EventLoop loop,
+            Clock clock,
+            Decisions decisions,
+            Upstreams upstreams,
+            InetSocketAddress address,
+            long generation,
+            boolean pushed,
+            Patience patience,
+            Backoff backoff) {
         this.pushed = pushed;
         this.patience = patience;
         this.backoff = backoff;
@@ -90,11 +103,12 @@
         this.upstreams = upstreams;
         this.address = address;
         this.generation = generation;
-        bootstrap = Dialling.http(loop, CONNECT_MS, MAX_ANSWER, Handler::new);
+        bootstrap = Connector.http(loop, CONNECT_MS, MAX_ANSWER, Handler::new);
     }
 
     static Backoff backoff() {
-        return new Backoff(AGAIN_US, AGAIN_MOST_US, bound -> ThreadLocalRandom.current().nextLong(bound));
+        return new Backoff(
+                AGAIN_US, AGAIN_MOST_US, bound -> ThreadLocalRandom.current().nextLong(bound));
     }
 
     void start() {
@@ -114,8 +128,8 @@
     }
 
     /**
-     * Asks elsewhere from now on, at once and for the whole list: versions of another service need not follow on
-     * these. The call that was out is over and has not failed; nobody waits longer for having asked the old one.
+     * Asks elsewhere from now on, at once and for the whole list: versions of another service need not follow on these.
+     * The call that was out is over and has not failed; nobody waits longer for having asked the old one.
      */
     void moveTo(InetSocketAddress to) {
         if (to.equals(address)) {
@@ -155,8 +169,8 @@
         long number = ++calls;
         call = number;
         begunUs = clock.now();
-        timeout = loop.schedule(() -> failed(number, "no answer"), patience.ms(waits(), backoff.failures()),
-                TimeUnit.MILLISECONDS);
+        timeout = loop.schedule(
+                () -> failed(number, "no answer"), patience.ms(waits(), backoff.failures()), TimeUnit.MILLISECONDS);
         if (channel != null && channel.isActive()) {
             write(number);
             return;
@@ -205,7 +219,9 @@
         } else {
             asked = false;
             // The module asks again, ever later; without a working one nobody would.
-            decisions.call("a call to discovery that failed", m -> m.onList(clock.now(), ListKind.FAILED, List.of()),
+            decisions.call(
+                    "a call to discovery that failed",
+                    m -> m.onList(clock.now(), ListKind.FAILED, List.of()),
                     () -> again(pauseUs));
         }
     }
@@ -250,9 +266,12 @@
         upstreams.update(list);
         if (asked || list.whole() || !list.entries().isEmpty()) {
             asked = false;
-            List<Upstream> entries = list.entries().stream().map(UpstreamList.Entry::upstream).toList();
-            decisions.call("a list", m -> m.onList(clock.now(), list.whole() ? ListKind.FULL : ListKind.DELTA, entries),
-                    () -> { });
+            List<Upstream> entries =
+                    list.entries().stream().map(UpstreamList.Entry::upstream).toList();
+            decisions.call(
+                    "a list",
+                    m -> m.onList(clock.now(), list.whole() ? ListKind.FULL : ListKind.DELTA, entries),
+                    () -> {});
         }
         long restMs = PACE_MS - (clock.now() - begunUs) / 1000;
         if (restMs <= 0) {
--- a/src/main/java/rushproxy/sidecar/Exchange.java
+++ b/src/main/java/rushproxy/sidecar/Exchange.java
@@ -22,17 +22,26 @@
     final String uri;
     /** Null where the request carries no key. */
     final String idempotencyKey;
+
     final byte[] body;
     /** Module time by which the final answer must be on its way. */
     final long deadlineUs;
+
     final Answer answer;
     /** When the module was told of it. */
     long takenUs;
+
     final List<Upstreams.Call> attempts = new ArrayList<>(1);
     boolean over;
 
-    Exchange(Request request, HttpMethod method, String uri, String idempotencyKey, byte[] body, long deadlineUs,
-             Answer answer) {
+    Exchange(
+            Request request,
+            HttpMethod method,
+            String uri,
+            String idempotencyKey,
+            byte[] body,
+            long deadlineUs,
+            Answer answer) {
         this.request = request;
         this.method = method;
         this.uri = uri;
@@ -44,8 +53,12 @@
 
     /** What became of it, for the log: its steps with their times in milliseconds after it was taken. */
     String story(long now) {
-        StringBuilder text = new StringBuilder(request.id()).append(" was over ").append((now - deadlineUs) / 1000)
-                .append(" ms after its time, ").append((now - takenUs) / 1000).append(" after it was taken:");
+        StringBuilder text = new StringBuilder(request.id())
+                .append(" was over ")
+                .append((now - deadlineUs) / 1000)
+                .append(" ms after its time, ")
+                .append((now - takenUs) / 1000)
+                .append(" after it was taken:");
         for (Upstreams.Call c : attempts) {
             text.append(' ').append(c.upstream).append(" at ").append((c.sentUs - takenUs) / 1000);
             if (c.ended()) {
--- a/src/main/java/rushproxy/sidecar/Json.java
+++ b/src/main/java/rushproxy/sidecar/Json.java
@@ -25,7 +25,8 @@
             return new Json(read(text));
         } catch (IOException e) {
             String reason = String.valueOf(e.getMessage());
-            throw new IllegalArgumentException("no JSON object: " + reason.lines().findFirst().orElse(""));
+            throw new IllegalArgumentException(
+                    "no JSON object: " + reason.lines().findFirst().orElse(""));
         }
     }
 
@@ -104,17 +105,22 @@
 
     @SuppressWarnings("unchecked")
     List<Json> objects(String name) {
-        return ((List<Object>) of(name, List.class, "a list")).stream().map(o -> {
-            if (!(o instanceof Map)) {
-                throw new IllegalArgumentException("'" + name + "' holds what is no object");
-            }
-            return new Json((Map<String, Object>) o);
-        }).toList();
+        return ((List<Object>) of(name, List.class, "a list"))
+                .stream()
+                        .map(o -> {
+                            if (!(o instanceof Map)) {
+                                throw new IllegalArgumentException("'" + name + "' holds what is no object");
+                            }
+                            return new Json((Map<String, Object>) o);
+                        })
+                        .toList();
     }
 
     @SuppressWarnings("unchecked")
     List<String> textsOrNone(String name) {
-        return has(name) ? ((List<Object>) of(name, List.class, "a list")).stream().map(String::valueOf).toList()
+        return has(name)
+                ? ((List<Object>) of(name, List.class, "a list"))
+                        .stream().map(String::valueOf).toList()
                 : List.of();
     }
 
@@ -141,7 +147,9 @@
             map.forEach((k, v) -> flatten(path.isEmpty() ? "" + k : path + "." + k, v, out));
         } else if (value instanceof List<?> list) {
             if (list.stream().noneMatch(Map.class::isInstance)) {
-                out.put(path, String.join(",", list.stream().map(String::valueOf).toList()));
+                out.put(
+                        path,
+                        String.join(",", list.stream().map(String::valueOf).toList()));
                 return;
             }
             out.put(path + ".count", "" + list.size());
--- a/src/main/java/rushproxy/sidecar/Peers.java
+++ b/src/main/java/rushproxy/sidecar/Peers.java
@@ -42,8 +42,13 @@
     }
 
     void listen(EventLoop loop, InetSocketAddress address) throws InterruptedException {
-        channel = new Bootstrap().group(loop).channelFactory(() -> new NioDatagramChannel()).handler(new Handler())
-                .bind(address).sync().channel();
+        channel = new Bootstrap()
+                .group(loop)
+                .channelFactory(() -> new NioDatagramChannel())
+                .handler(new Handler())
+                .bind(address)
+                .sync()
+                .channel();
     }
 
     /** To one peer, or to all where the number is -1. What can't be sent is lost, as any datagram may be. */
@@ -62,12 +67,11 @@
                 return;
             }
             byte[] message = ByteBufUtil.getBytes(packet.content());
-            decisions.call("a peer's word", m -> m.onPeer(clock.now(), number, message), () -> { });
+            decisions.call("a peer's word", m -> m.onPeer(clock.now(), number, message), () -> {});
         }
 
         /** The network says of an earlier datagram that nobody was there: no reason to stop listening. */
         @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        }
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {}
     }
 }
--- a/src/main/java/rushproxy/sidecar/ReadTrackingLoop.java
+++ b/src/main/java/rushproxy/sidecar/ReadTrackingLoop.java
@@ -26,6 +26,7 @@
     private static final long LATE_LEAST_US = 20_000;
     /** What is left after each tick of what was the longest lag: half of it after some twenty ticks. */
     private static final int LAG_FADES_BY = 32;
+
     private static final long NEVER = -1;
 
     private final Clock clock;
@@ -38,6 +39,7 @@
     private long readUs;
     /** When the loop was to wake at the latest, by its own clock; {@link #NEVER} where nothing was due. */
     private long wakeNanos = NEVER;
+
     private long recentLagUs;
 
     ReadTrackingLoop(Clock clock) {
--- a/src/main/java/rushproxy/sidecar/Rehearsal.java
+++ b/src/main/java/rushproxy/sidecar/Rehearsal.java
@@ -44,6 +44,7 @@
     private static final int REQUESTS = 12;
     /** Clients that send at once: as many as keep the loop busy, and few enough to leave no upstream overrun. */
     private static final int CLIENTS = 3;
+
     private static final int UPSTREAMS = 6;
     private static final long LONGEST_MS = 1_500;
 
@@ -72,18 +73,31 @@
         try {
             EventLoop loop = reads.loop();
             InetSocketAddress here = new InetSocketAddress(config.listen().getAddress(), 0);
-            InetSocketAddress stage = (InetSocketAddress) new ServerBootstrap().group(loop)
-                    .channelFactory(NioServerSocketChannel::new).childHandler(new ChannelInitializer<Channel>() {
+            InetSocketAddress stage = (InetSocketAddress) new ServerBootstrap()
+                    .group(loop)
+                    .channelFactory(NioServerSocketChannel::new)
+                    .childHandler(new ChannelInitializer<Channel>() {
                         @Override
                         protected void initChannel(Channel channel) {
-                            channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(Headers.MAX_BODY),
-                                    new Stage());
+                            channel.pipeline()
+                                    .addLast(
+                                            new HttpServerCodec(),
+                                            new HttpObjectAggregator(Headers.MAX_BODY),
+                                            new Stage());
                         }
-                    }).bind(here).sync().channel().localAddress();
-            Sidecar second = new Sidecar(config.elsewhere(here, stage, list(stage)), module, reads,
-                    Discovery.Patience.USUAL, Discovery.backoff());
+                    })
+                    .bind(here)
+                    .sync()
+                    .channel()
+                    .localAddress();
+            Sidecar second = new Sidecar(
+                    config.elsewhere(here, stage, list(stage)),
+                    module,
+                    reads,
+                    Discovery.Patience.USUAL,
+                    Discovery.backoff());
             second.start();
-            Bootstrap clients = Dialling.http(loop, 1_000, Headers.MAX_BODY, Client::new);
+            Bootstrap clients = Connector.http(loop, 1_000, Headers.MAX_BODY, Client::new);
             for (int i = 0; i < CLIENTS; i++) {
                 clients.connect(second.listening());
             }
@@ -99,7 +113,8 @@
     private static UpstreamList list(InetSocketAddress stage) {
         List<UpstreamList.Entry> entries = new ArrayList<>();
         for (int i = 0; i < UPSTREAMS; i++) {
-            entries.add(new UpstreamList.Entry(new Upstream("stage-" + i, "", "", -1, 0, 1, UpstreamState.READY), stage));
+            entries.add(
+                    new UpstreamList.Entry(new Upstream("stage-" + i, "", "", -1, 0, 1, UpstreamState.READY), stage));
         }
         return new UpstreamList(1, true, entries);
     }
@@ -112,10 +127,15 @@
             if (list && !request.uri().endsWith("wait=0")) {
                 return;
             }
-            String load = list ? "{\"generation\":1,\"reset\":false,\"instances\":[]}" : "TEXT inflight=0, queue=0, util=0.1";
-            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
+            String load =
+                    list ? "{\"generation\":1,\"reset\":false,\"instances\":[]}" : "TEXT inflight=0, queue=0, util=0.1";
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.OK,
                     Unpooled.copiedBuffer(load, StandardCharsets.US_ASCII));
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, load.length()).set(Headers.LOAD, load);
+            response.headers()
+                    .set(HttpHeaderNames.CONTENT_LENGTH, load.length())
+                    .set(Headers.LOAD, load);
             ctx.writeAndFlush(response);
         }
 
@@ -143,10 +163,13 @@
         private void ask(ChannelHandlerContext ctx) {
             List<RequestClass> classes = config.settings().classes();
             RequestClass c = classes.get(begun++ % classes.size());
-            FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-                    c.semantics() == Semantics.SAFE ? HttpMethod.GET : HttpMethod.POST, "/api");
-            request.headers().set(HttpHeaderNames.HOST, "api.internal").set(Headers.TXN, "rehearsal-" + begun)
-                    .set(Headers.CLASS, c.name()).set(Headers.REMAINING, Math.max(1, c.deadlineUs() / 1000))
+            FullHttpRequest request = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1, c.semantics() == Semantics.SAFE ? HttpMethod.GET : HttpMethod.POST, "/api");
+            request.headers()
+                    .set(HttpHeaderNames.HOST, "api.internal")
+                    .set(Headers.TXN, "rehearsal-" + begun)
+                    .set(Headers.CLASS, c.name())
+                    .set(Headers.REMAINING, Math.max(1, c.deadlineUs() / 1000))
                     .set(HttpHeaderNames.COOKIE, Headers.KEY_COOKIE + "=" + begun)
                     .set(HttpHeaderNames.CONTENT_LENGTH, 0);
             if (c.semantics() == Semantics.KEYED) {
--- a/src/main/java/rushproxy/sidecar/Requests.java
+++ b/src/main/java/rushproxy/sidecar/Requests.java
@@ -32,13 +32,12 @@
     private final Totals totals;
     private final Map<String, Exchange> open = new HashMap<>();
     /** Those without their answer, the earliest deadline first. */
-    private final TreeSet<Exchange> unanswered = new TreeSet<>(
-            Comparator.comparingLong((Exchange x) -> x.deadlineUs).thenComparing(x -> x.request.id()));
+    private final TreeSet<Exchange> unanswered =
+            new TreeSet<>(Comparator.comparingLong((Exchange x) -> x.deadlineUs).thenComparing(x -> x.request.id()));
     /** When the first of them is overdue, at the latest. Null where none is waited for. */
     private Future<?> nextLook;
 
-    Requests(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, int maxAttempts,
-             Totals totals) {
+    Requests(EventLoop loop, Clock clock, Decisions decisions, Upstreams upstreams, int maxAttempts, Totals totals) {
         this.loop = loop;
         this.clock = clock;
         this.decisions = decisions;
@@ -122,7 +121,7 @@
     }
 
     private void expired(Exchange x) {
-        decisions.call("a client that left", m -> m.onExpired(clock.now(), x.request.id()), () -> { });
+        decisions.call("a client that left", m -> m.onExpired(clock.now(), x.request.id()), () -> {});
     }
 
     /** After a call that broke off: what the module held may be forgotten, so it is answered now. */
@@ -142,7 +141,11 @@
         int number = x.attempts.size();
         long until = untilUs <= 0 ? x.deadlineUs : Math.min(untilUs, x.deadlineUs);
         boolean moot = x.over || number >= maxAttempts || until <= clock.now();
-        Upstreams.Call call = new Upstreams.Call(upstream, until, false, left -> message(x, left),
+        Upstreams.Call call = new Upstreams.Call(
+                upstream,
+                until,
+                false,
+                left -> message(x, left),
                 (c, outcome, report, body) -> ended(x, number, c, outcome, report, body));
         if (number == 0) {
             totals.begun(clock.now() - x.takenUs);
@@ -157,8 +160,8 @@
     }
 
     private static FullHttpRequest message(Exchange x, long leftUs) {
-        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, x.method, x.uri,
-                Unpooled.wrappedBuffer(x.body));
+        FullHttpRequest message =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, x.method, x.uri, Unpooled.wrappedBuffer(x.body));
         message.headers().set(Headers.TXN, x.request.id()).set(Headers.REMAINING, Math.max(1, leftUs / 1000));
         if (x.idempotencyKey != null) {
             message.headers().set(Headers.IDEMPOTENCY_KEY, x.idempotencyKey);
@@ -176,8 +179,11 @@
         }
         forgetIfSettled(x);
         long now = clock.now();
-        decisions.call("an outcome", m -> m.onOutcome(now, x.request.id(), number, call.upstream, outcome, now - call.sentUs, x.over,
-                report), () -> failUnlessOut(x));
+        decisions.call(
+                "an outcome",
+                m -> m.onOutcome(
+                        now, x.request.id(), number, call.upstream, outcome, now - call.sentUs, x.over, report),
+                () -> failUnlessOut(x));
     }
 
     private void failUnlessOut(Exchange x) {
--- a/src/main/java/rushproxy/sidecar/SettingsCheck.java
+++ b/src/main/java/rushproxy/sidecar/SettingsCheck.java
@@ -37,11 +37,16 @@
             }
         }
         Rules r = fresh.rules();
-        if (!(r.coldShare() > 0 && r.coldShare() <= 1) || r.rampUs() < 0 || !(r.fallMultiple() > 0) || r.fallWindowUs() <= 0
+        if (!(r.coldShare() > 0 && r.coldShare() <= 1)
+                || r.rampUs() < 0
+                || !(r.fallMultiple() > 0)
+                || r.fallWindowUs() <= 0
                 || r.drainGraceUs() < 0) {
             return "'rules' are out of their ranges";
         }
-        if (fresh.limits().maxAttempts() < 1 || fresh.limits().dialTimeoutUs() <= 0 || fresh.limits().connIdleUs() <= 0) {
+        if (fresh.limits().maxAttempts() < 1
+                || fresh.limits().dialTimeoutUs() <= 0
+                || fresh.limits().connIdleUs() <= 0) {
             return "'limits' are out of their ranges";
         }
         return null;
--- a/src/main/java/rushproxy/sidecar/Sidecar.java
+++ b/src/main/java/rushproxy/sidecar/Sidecar.java
@@ -69,15 +69,36 @@
         int fromClients = most * 5 / 8;
         // A quarter of that third for connections between requests: the rest is for requests in progress.
         int spare = config.sockets() / 12;
-        upstreams = new Upstreams(reads, settings.limits().connIdleUs(), Upstreams.REST_US,
-                settings.limits().dialTimeoutUs(), stallUs(settings), () -> most - openFromClients(), totals);
-        requests = new Requests(loop, clock, decisions, upstreams, settings.limits().maxAttempts(), totals);
-        discovery = new Discovery(loop, clock, decisions, upstreams, config.discovery(), config.known().generation(),
-                !settings.discoveryOnRequest(), patience, backoff);
+        upstreams = new Upstreams(
+                reads,
+                settings.limits().connIdleUs(),
+                Upstreams.REST_US,
+                settings.limits().dialTimeoutUs(),
+                stallUs(settings),
+                () -> most - openFromClients(),
+                totals);
+        requests = new Requests(
+                loop, clock, decisions, upstreams, settings.limits().maxAttempts(), totals);
+        discovery = new Discovery(
+                loop,
+                clock,
+                decisions,
+                upstreams,
+                config.discovery(),
+                config.known().generation(),
+                !settings.discoveryOnRequest(),
+                patience,
+                backoff);
         peers = new Peers(clock, decisions, config.peers(), config.peersAll());
-        clients = new ClientServer(reads, requests, settings.classes(),
-                () -> discovery.heard() && upstreams.anyReady(), fromClients,
-                () -> openFromClients() + upstreams.open() < most || upstreams.dropOldestIdle(), spare, totals);
+        clients = new ClientServer(
+                reads,
+                requests,
+                settings.classes(),
+                () -> discovery.heard() && upstreams.anyReady(),
+                fromClients,
+                () -> openFromClients() + upstreams.open() < most || upstreams.dropOldestIdle(),
+                spare,
+                totals);
     }
 
     private int openFromClients() {
@@ -86,11 +107,16 @@
 
     /** A quarter of the time within which an answer is wanted leaves enough of it for another attempt. */
     private static long stallUs(Balancer.Settings settings) {
-        long aim = settings.classes().stream().mapToLong(Balancer.RequestClass::aimUs).min().orElse(0);
+        long aim = settings.classes().stream()
+                .mapToLong(Balancer.RequestClass::aimUs)
+                .min()
+                .orElse(0);
         return Math.max(STALL_LEAST_US, aim / 4);
     }
 
-    /** Runs one sidecar until it is asked to end; only a start that fails returns, with the exit code of the process. */
+    /**
+     * Runs one sidecar until it is asked to end; only a start that fails returns, with the exit code of the process.
+     */
     public static int serve(Map<String, String> environment) throws InterruptedException {
         int status = 1;
         try {
@@ -151,12 +177,19 @@
 
     void start() throws InterruptedException {
         upstreams.update(config.known());
-        loop.submit(() -> decisions.start(actions -> {
-            Balancer made = module.create(config, clock.now(), actions);
-            made.onList(clock.now(), ListKind.CACHED,
-                    config.known().entries().stream().map(UpstreamList.Entry::upstream).toList());
-            return made;
-        }, new Hands())).sync();
+        loop.submit(() -> decisions.start(
+                        actions -> {
+                            Balancer made = module.create(config, clock.now(), actions);
+                            made.onList(
+                                    clock.now(),
+                                    ListKind.CACHED,
+                                    config.known().entries().stream()
+                                            .map(UpstreamList.Entry::upstream)
+                                            .toList());
+                            return made;
+                        },
+                        new DecisionExecutor()))
+                .sync();
         loop.execute(discovery::start);
         if (config.peerListen() != null) {
             peers.listen(loop, config.peerListen());
@@ -165,8 +198,8 @@
         loop.execute(() -> {
             monitor.start();
             tickAtUs = clock.now();
-            loop.scheduleWithFixedDelay(() -> FaultBarrier.passes("a tick", this::tick), TICK_MS, TICK_MS,
-                    TimeUnit.MILLISECONDS);
+            loop.scheduleWithFixedDelay(
+                    () -> FaultBarrier.passes("a tick", this::tick), TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
         });
     }
 
@@ -243,7 +276,7 @@
         Balancer.Settings settings = fresh.settings();
         peers.take(fresh.peers(), fresh.peersAll());
         // The module first: no request of a new class may come to one that does not know it.
-        decisions.call("new settings", m -> m.onSettings(clock.now(), settings), () -> { });
+        decisions.call("new settings", m -> m.onSettings(clock.now(), settings), () -> {});
         requests.allow(settings.limits().maxAttempts());
         upstreams.allow(settings.limits().connIdleUs(), settings.limits().dialTimeoutUs(), stallUs(settings));
         clients.take(settings.classes());
@@ -261,7 +294,7 @@
     }
 
     /** Carries out what the module decides. */
-    private final class Hands implements Balancer.Actions {
+    private final class DecisionExecutor implements Balancer.Actions {
         @Override
         public void send(String request, String upstream, long untilUs) {
             requests.send(request, upstream, untilUs);
@@ -284,9 +317,15 @@
 
         @Override
         public void probe(String upstream) {
-            upstreams.start(new Upstreams.Call(upstream, clock.now() + PROBE_US, true, left -> probe(),
-                    (call, outcome, report, body) -> decisions.call("a probe", m -> m.onProbe(clock.now(), upstream, outcome,
-                            clock.now() - call.sentUs, report), () -> { })));
+            upstreams.start(new Upstreams.Call(
+                    upstream,
+                    clock.now() + PROBE_US,
+                    true,
+                    left -> probe(),
+                    (call, outcome, report, body) -> decisions.call(
+                            "a probe",
+                            m -> m.onProbe(clock.now(), upstream, outcome, clock.now() - call.sentUs, report),
+                            () -> {})));
         }
 
         private static FullHttpRequest probe() {
@@ -310,7 +349,9 @@
 
         @Override
         public void timer(String mark, long delayUs) {
-            loop.schedule(() -> decisions.call("a timer", m -> m.onTimer(clock.now(), mark), requests::failHeld), delayUs,
+            loop.schedule(
+                    () -> decisions.call("a timer", m -> m.onTimer(clock.now(), mark), requests::failHeld),
+                    delayUs,
                     TimeUnit.MICROSECONDS);
         }
 
--- a/src/main/java/rushproxy/sidecar/StartPhases.java
+++ b/src/main/java/rushproxy/sidecar/StartPhases.java
@@ -8,6 +8,7 @@
 final class StartPhases {
     /** User and system time of the process, in ticks of 10 ms: fields 14 and 15 of {@code proc(5)}'s stat. */
     private static final String ACCOUNT = "/proc/self/stat";
+
     private static final int USER_FIELD = 11;
     private static final int TICK_MS = 10;
 
@@ -23,8 +24,13 @@
     void done(String phase) {
         long now = System.nanoTime();
         long used = processorMs();
-        phases.append(", ").append(phase).append(' ').append((now - begunNanos) / 1_000_000).append(" (")
-                .append(used - usedMs).append(" used)");
+        phases.append(", ")
+                .append(phase)
+                .append(' ')
+                .append((now - begunNanos) / 1_000_000)
+                .append(" (")
+                .append(used - usedMs)
+                .append(" used)");
         begunNanos = now;
         usedMs = used;
     }
--- a/src/main/java/rushproxy/sidecar/ThreadTimes.java
+++ b/src/main/java/rushproxy/sidecar/ThreadTimes.java
@@ -12,8 +12,8 @@
 
 /**
  * Processor time of each thread of this process and its time in the run queue, both in nanoseconds, as Linux accounts
- * for them in {@code /proc/self/task/ID/schedstat}. Where there are no such files nothing is known, and nothing is told.
- * The management beans of the JDK know no run queue, and loading them costs more than a tenth of a start.
+ * for them in {@code /proc/self/task/ID/schedstat}. Where there are no such files nothing is known, and nothing is
+ * told. The management beans of the JDK know no run queue, and loading them costs more than a tenth of a start.
  */
 final class ThreadTimes {
     private static final File THREADS = new File("/proc/self/task");
@@ -74,7 +74,9 @@
         List<Spent> spent = new ArrayList<>();
         byId.forEach((id, now) -> {
             Times then = before.byId.getOrDefault(id, new Times(0, 0));
-            spent.add(new Spent(names.get(id), (now.ranNanos - then.ranNanos) / MILLI,
+            spent.add(new Spent(
+                    names.get(id),
+                    (now.ranNanos - then.ranNanos) / MILLI,
                     (now.queuedNanos - then.queuedNanos) / MILLI));
         });
         spent.removeIf(s -> s.ranMs + s.queuedMs == 0);
@@ -84,8 +86,13 @@
         spent.sort(Comparator.comparingLong((Spent s) -> s.ranMs + s.queuedMs).reversed());
         StringBuilder text = new StringBuilder();
         for (Spent s : spent.subList(0, Math.min(MOST_TOLD, spent.size()))) {
-            text.append(text.length() == 0 ? "" : ", ").append(s.thread).append(" ran ").append(s.ranMs)
-                    .append(" ms and waited ").append(s.queuedMs).append(" for a processor");
+            text.append(text.length() == 0 ? "" : ", ")
+                    .append(s.thread)
+                    .append(" ran ")
+                    .append(s.ranMs)
+                    .append(" ms and waited ")
+                    .append(s.queuedMs)
+                    .append(" for a processor");
         }
         return text.toString();
     }
--- a/src/main/java/rushproxy/sidecar/Totals.java
+++ b/src/main/java/rushproxy/sidecar/Totals.java
@@ -11,6 +11,7 @@
     private final Map<Outcome, Integer> outcomes = new EnumMap<>(Outcome.class);
     /** By class: a total can look well while one class is hardly served. */
     private final Map<String, Counts> classes = new TreeMap<>();
+
     private int failed;
     private int left;
     private int begun;
@@ -87,7 +88,8 @@
         classes.forEach((name, c) ->
                 counts.add(name + " taken " + c.taken + ", served " + c.served + ", refused " + c.refused));
         String line = counts + "; failed " + failed + ", left " + left + ", open " + open
-                + "; before the first attempt " + heldUs / Math.max(1, begun) + " us, at most " + worstHeldUs + "; attempts " + outcomes + "; clients' connections " + clients + " (" + accepted
+                + "; before the first attempt " + heldUs / Math.max(1, begun) + " us, at most " + worstHeldUs
+                + "; attempts " + outcomes + "; clients' connections " + clients + " (" + accepted
                 + " new), to upstreams " + upstreams + " (" + dialled + " new); the event loop late by up to "
                 + worstLagUs / 1000 + " ms";
         outcomes.clear();
--- a/src/main/java/rushproxy/sidecar/UpstreamConnection.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamConnection.java
@@ -21,8 +21,8 @@
 import rushproxy.sidecar.Upstreams.Call;
 
 /**
- * One connection to an upstream: one call at a time, and what comes back told as its outcome. It is believed as long
- * as all that comes on it belongs to a call; a byte more, and it is closed.
+ * One connection to an upstream: one call at a time, and what comes back told as its outcome. It is believed as long as
+ * all that comes on it belongs to a call; a byte more, and it is closed.
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
     static final AttributeKey<UpstreamConnection> KEY = AttributeKey.valueOf(UpstreamConnection.class, "connection");
@@ -34,9 +34,11 @@
     private BiConsumer<Call, Channel> release;
     /** The answer to the call, kept until all that came with it has been looked at. */
     private FullHttpResponse answer;
+
     private Future<?> stall;
     /** When a part of an answer came last. */
     private long readNanos;
+
     private boolean spoilt;
     private long restUntilUs;
     /** An answer that has begun and then stops for this long does not end any more. */
@@ -138,8 +140,10 @@
 
     private static void tell(Call current, FullHttpResponse response) {
         Outcome outcome = outcome(response);
-        LoadReport report = LoadReports.read(current.reportInBody()
-                ? response.content().toString(StandardCharsets.UTF_8) : response.headers().get(Headers.LOAD));
+        LoadReport report = LoadReports.read(
+                current.reportInBody()
+                        ? response.content().toString(StandardCharsets.UTF_8)
+                        : response.headers().get(Headers.LOAD));
         if (current.reportInBody() && outcome == Outcome.OK && report == null) {
             // A probe whose report can't be read tells neither of load nor of a server without reports.
             outcome = Outcome.SPOILT;
@@ -158,7 +162,8 @@
         return switch (code) {
             case 200 -> Outcome.OK;
             case 503, 504 -> "1".equals(headers.get(Headers.TURNED_AWAY)) ? Outcome.REJECTED : Outcome.ERROR;
-            // What the client sent was no good: that is not the upstream's fault, and no other would like it better.
+                // What the client sent was no good: that is not the upstream's fault, and no other would like it
+                // better.
             default -> code >= 400 && code < 500 ? Outcome.INVALID : Outcome.ERROR;
         };
     }
--- a/src/main/java/rushproxy/sidecar/UpstreamList.java
+++ b/src/main/java/rushproxy/sidecar/UpstreamList.java
@@ -16,14 +16,23 @@
     static UpstreamList of(Json json) {
         List<Entry> entries = new ArrayList<>();
         for (Json e : json.objects("instances")) {
-            UpstreamState state = switch (e.text("lifecycle")) {
-                case "Ready" -> UpstreamState.READY;
-                case "Terminating" -> UpstreamState.DRAINING;
-                case "Gone" -> UpstreamState.GONE;
-                default -> throw new IllegalArgumentException("lifecycle '" + e.text("lifecycle") + "' is unknown");
-            };
-            entries.add(new Entry(new Upstream(e.text("instanceId"), e.textOr("zone", ""), e.textOr("machineType", ""),
-                    (int) e.numberOr("cell", -1), e.numberOr("startedAtMs", 0) * 1000, e.realOr("weight", 1), state),
+            UpstreamState state =
+                    switch (e.text("lifecycle")) {
+                        case "Ready" -> UpstreamState.READY;
+                        case "Terminating" -> UpstreamState.DRAINING;
+                        case "Gone" -> UpstreamState.GONE;
+                        default -> throw new IllegalArgumentException(
+                                "lifecycle '" + e.text("lifecycle") + "' is unknown");
+                    };
+            entries.add(new Entry(
+                    new Upstream(
+                            e.text("instanceId"),
+                            e.textOr("zone", ""),
+                            e.textOr("machineType", ""),
+                            (int) e.numberOr("cell", -1),
+                            e.numberOr("startedAtMs", 0) * 1000,
+                            e.realOr("weight", 1),
+                            state),
                     address(e.text("hostPort"))));
         }
         return new UpstreamList(json.number("generation"), json.flag("reset"), entries);
@@ -37,8 +46,8 @@
             throw new IllegalArgumentException("no address: '" + text + "'");
         }
         try {
-            return new InetSocketAddress(java.net.InetAddress.getByAddress(host),
-                    Integer.parseInt(text.substring(colon + 1)));
+            return new InetSocketAddress(
+                    java.net.InetAddress.getByAddress(host), Integer.parseInt(text.substring(colon + 1)));
         } catch (java.net.UnknownHostException | NumberFormatException e) {
             throw new IllegalArgumentException("no address: '" + text + "'");
         }
--- a/src/main/java/rushproxy/sidecar/Upstreams.java
+++ b/src/main/java/rushproxy/sidecar/Upstreams.java
@@ -27,6 +27,7 @@
 final class Upstreams {
     /** Idle connections are dropped this much before an upstream may drop them: a request then can't cross it. */
     private static final long IDLE_MARGIN_US = 2_000_000;
+
     private static final long SWEEP_MS = 1_000;
     /**
      * A connection rests after its answer before it carries the next request: an upstream that answers twice does so
@@ -45,6 +46,7 @@
         private final long untilUs;
         /** Makes the message, told how long an answer is waited for. */
         private final LongFunction<FullHttpRequest> message;
+
         private final Result result;
         private final boolean reportInBody;
         long sentUs;
@@ -57,8 +59,12 @@
         /** When its end was told; 0 where nobody noted it. */
         long endedUs;
 
-        Call(String upstream, long untilUs, boolean reportInBody, LongFunction<FullHttpRequest> message,
-             Result result) {
+        Call(
+                String upstream,
+                long untilUs,
+                boolean reportInBody,
+                LongFunction<FullHttpRequest> message,
+                Result result) {
             this.upstream = upstream;
             this.untilUs = untilUs;
             this.message = message;
@@ -144,7 +150,8 @@
         }
 
         boolean is(UpstreamList.Entry entry) {
-            return address.equals(entry.address()) && startedUs == entry.upstream().startedUs();
+            return address.equals(entry.address())
+                    && startedUs == entry.upstream().startedUs();
         }
     }
 
@@ -156,23 +163,33 @@
     private final long restUs;
     /** How many connections may be open now: what others leave of the descriptors. */
     private final IntSupplier maxConnections;
+
     private final Totals totals;
     private final Bootstrap bootstrap;
     private final Map<String, Target> targets = new HashMap<>();
     private int connections;
 
-    Upstreams(ReadTrackingLoop reads, long connIdleUs, long restUs, long dialTimeoutUs,
-              long stallUs, IntSupplier maxConnections, Totals totals) {
+    Upstreams(
+            ReadTrackingLoop reads,
+            long connIdleUs,
+            long restUs,
+            long dialTimeoutUs,
+            long stallUs,
+            IntSupplier maxConnections,
+            Totals totals) {
         this.reads = reads;
         loop = reads.loop();
         clock = reads.clock();
         this.maxConnections = maxConnections;
         this.totals = totals;
         this.restUs = restUs;
-        bootstrap = Dialling.tcp(loop, 1, channel -> UpstreamConnection.on(channel, this.stallUs));
+        bootstrap = Connector.tcp(loop, 1, channel -> UpstreamConnection.on(channel, this.stallUs));
         allow(connIdleUs, dialTimeoutUs, stallUs);
-        loop.scheduleWithFixedDelay(() -> FaultBarrier.passes("the sweep of idle connections", this::dropIdle), SWEEP_MS,
-                SWEEP_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(
+                () -> FaultBarrier.passes("the sweep of idle connections", this::dropIdle),
+                SWEEP_MS,
+                SWEEP_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** For connections from now on, but the idle time, which ends those too that are idle now. */
@@ -342,8 +359,10 @@
     boolean dropOldestIdle() {
         Target oldest = null;
         for (Target t : targets.values()) {
-            if (!t.idle.isEmpty() && (oldest == null || connection(t.idle.peekLast()).idleSinceUs
-                    < connection(oldest.idle.peekLast()).idleSinceUs)) {
+            if (!t.idle.isEmpty()
+                    && (oldest == null
+                            || connection(t.idle.peekLast()).idleSinceUs
+                                    < connection(oldest.idle.peekLast()).idleSinceUs)) {
                 oldest = t;
             }
         }
@@ -355,7 +374,9 @@
 
     private void write(Call call) {
         FullHttpRequest message = call.message.apply(call.untilUs - clock.now());
-        message.headers().set("Host", "api.internal").set("Content-Length", message.content().readableBytes());
+        message.headers()
+                .set("Host", "api.internal")
+                .set("Content-Length", message.content().readableBytes());
         connection(call.channel).begin(call, this::release);
         call.channel.writeAndFlush(message).addListener(f -> {
             if (f.isSuccess()) {
--- a/src/main/java/rushproxy/hollow/FleetCosts.java
+++ b/src/main/java/rushproxy/simulation/FleetCosts.java
@@ -1,8 +1,8 @@
-package rushproxy.hollow;
+package rushproxy.simulation;
 
 import java.util.stream.IntStream;
 
-/** What a hollow fleet of one shape says of words, of estimates and of how it is served, calm and after faults. */
+/** What a simulated fleet of one shape says of words, of estimates and of how it is served, calm and after faults. */
 final class FleetCosts {
     /** A module says its estimates every 5 s: each has, shortly after that. */
     private static final double SETTLED_S = 5.5;
@@ -16,7 +16,7 @@
     }
 
     void measure() {
-        HollowFleet fleet = new HollowFleet(shape);
+        SimulatedFleet fleet = new SimulatedFleet(shape);
         fleet.play(SETTLED_S);
         long words = fleet.words();
         long bytes = fleet.wordBytes();
@@ -29,7 +29,7 @@
         rates(fleet, "70 % restarted at once");
     }
 
-    private void rates(HollowFleet fleet, String when) {
+    private void rates(SimulatedFleet fleet, String when) {
         double[] off = fleet.rateErrors();
         if (off.length > 0) {
             rows.add("fleet rate off in the median (" + when + ")", shape, off[off.length / 2], "part", "model");
--- a/src/main/java/rushproxy/hollow/Ignoring.java
+++ b/src/main/java/rushproxy/simulation/Ignoring.java
@@ -1,4 +1,4 @@
-package rushproxy.hollow;
+package rushproxy.simulation;
 
 import rushproxy.Balancer;
 
--- a/src/main/java/rushproxy/hollow/ModuleCosts.java
+++ b/src/main/java/rushproxy/simulation/ModuleCosts.java
@@ -1,4 +1,4 @@
-package rushproxy.hollow;
+package rushproxy.simulation;
 
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
@@ -24,6 +24,7 @@
     private static final int INSTANCES = 20;
     /** Requests a second that come to the module measured: 180,000 over 2,400. */
     private static final int RATE = 75;
+
     private static final long RESOLVE_US = 100_000;
 
     private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
@@ -79,16 +80,17 @@
 
     /** Words as other modules of the same fleet tell them. */
     private void words(int sidecars) {
-        Keeping hands = new Keeping() {
+        Keeping actions = new Keeping() {
             @Override
             public void tell(int peer, byte[] message) {
                 words.add(message);
             }
         };
-        Policy other = new Policy(shape.settings(Math.min(1, sidecars - 1)), 2, nowUs, hands);
+        Policy other = new Policy(shape.settings(Math.min(1, sidecars - 1)), 2, nowUs, actions);
         other.onList(nowUs, ListKind.FULL, list);
         for (int i = 1; i <= 200; i++) {
-            other.onRequest(nowUs + i * 13_000L, new Request("o" + i, -1, false, false, 0, Shape.DEADLINE_US, null, "submit"));
+            other.onRequest(
+                    nowUs + i * 13_000L, new Request("o" + i, -1, false, false, 0, Shape.DEADLINE_US, null, "submit"));
         }
         other.onTimer(nowUs + 2_700_000, "tell");
     }
@@ -98,14 +100,25 @@
         long least = Long.MAX_VALUE;
         for (int i = 0; i < 5; i++) {
             System.gc();
-            least = Math.min(least, Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
+            least = Math.min(
+                    least,
+                    Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
         }
         return least;
     }
 
     private void request() {
-        module.onRequest(nowUs, new Request("r" + number++, -1, false, false, 0, Shape.DEADLINE_US, null,
-                number % 10 < 7 ? "submit" : "issue"));
+        module.onRequest(
+                nowUs,
+                new Request(
+                        "r" + number++,
+                        -1,
+                        false,
+                        false,
+                        0,
+                        Shape.DEADLINE_US,
+                        null,
+                        number % 10 < 7 ? "submit" : "issue"));
     }
 
     /** Of a request drawn from those that are out, so that as many stay out. */
@@ -135,15 +148,18 @@
 
     /** The clock's own cost, to be taken off the others. */
     double clockUs() {
-        return each(200, () -> { }, () -> { });
+        return each(200, () -> {}, () -> {});
     }
 
     /** A request between two re-solves. */
     double requestUs() {
-        return each(20, () -> {
-            outcome();
-            nowUs += 1_000;
-        }, this::request);
+        return each(
+                20,
+                () -> {
+                    outcome();
+                    nowUs += 1_000;
+                },
+                this::request);
     }
 
     double outcomeUs() {
@@ -152,21 +168,28 @@
 
     /** A request that finds the shares old: with the re-solve, of which there are ten a second at the most. */
     double resolveUs() {
-        return each(20, () -> {
-            outcome();
-            nowUs += RESOLVE_US;
-        }, this::request);
+        return each(
+                20,
+                () -> {
+                    outcome();
+                    nowUs += RESOLVE_US;
+                },
+                this::request);
     }
 
     double wordUs() {
         int[] peer = new int[1];
-        return each(200, () -> peer[0] = 1 + peer[0] % (shape.sidecars() - 1),
+        return each(
+                200,
+                () -> peer[0] = 1 + peer[0] % (shape.sidecars() - 1),
                 () -> module.onPeer(nowUs, peer[0], words.get(0)));
     }
 
     double deltaUs() {
-        return each(20, () -> nowUs += 10_000, () -> module.onList(nowUs, ListKind.DELTA,
-                List.of(list.get(random.nextInt(list.size())))));
+        return each(
+                20,
+                () -> nowUs += 10_000,
+                () -> module.onList(nowUs, ListKind.DELTA, List.of(list.get(random.nextInt(list.size())))));
     }
 
     double wholeListUs() {
--- a/src/main/java/rushproxy/hollow/Rows.java
+++ b/src/main/java/rushproxy/simulation/Rows.java
@@ -1,4 +1,4 @@
-package rushproxy.hollow;
+package rushproxy.simulation;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -10,9 +10,10 @@
 
     private final List<String> rows = new ArrayList<>();
 
-    /** {@code how}: "module" is the real module alone, "model" a hollow fleet. */
+    /** {@code how}: "module" is the real module alone, "model" a simulated fleet. */
     void add(String measure, Shape of, double value, String unit, String how) {
-        rows.add(String.format(Locale.ROOT, "%s,%d,%d,%.4g,%s,%s", measure, of.sidecars(), of.servers(), value, unit, how));
+        rows.add(String.format(
+                Locale.ROOT, "%s,%d,%d,%.4g,%s,%s", measure, of.sidecars(), of.servers(), value, unit, how));
     }
 
     String csv() {
--- a/src/main/java/rushproxy/hollow/ScaleCommand.java
+++ b/src/main/java/rushproxy/simulation/ScaleCommand.java
@@ -1,4 +1,4 @@
-package rushproxy.hollow;
+package rushproxy.simulation;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -7,14 +7,23 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
-/** {@code scale}: measures by sidecars and by servers what a fleet costs, and writes it as CSV. A benchmark, no test. */
-@Command(name = "scale", mixinStandardHelpOptions = true,
-        description = "Measures what the module and hollow fleets of several sizes cost; writes CSV.")
+/**
+ * {@code scale}: measures by sidecars and by servers what a fleet costs, and writes it as CSV. A benchmark, no test.
+ */
+@Command(
+        name = "scale",
+        mixinStandardHelpOptions = true,
+        description = "Measures what the module and simulated fleets of several sizes cost; writes CSV.")
 public final class ScaleCommand implements Callable<Integer> {
-    @Option(names = "--quick", description = "Fleets of at most 100 sidecars, under a minute; else up to 2,400, under five.")
+    @Option(
+            names = "--quick",
+            description = "Fleets of at most 100 sidecars, under a minute; else up to 2,400, under five.")
     private boolean quick;
 
-    @Option(names = "--out", paramLabel = "FILE", defaultValue = "target/scale.csv",
+    @Option(
+            names = "--out",
+            paramLabel = "FILE",
+            defaultValue = "target/scale.csv",
             description = "Where the CSV goes (default: ${DEFAULT-VALUE}).")
     private Path out;
 
@@ -26,14 +35,26 @@
     @Override
     public Integer call() {
         Rows rows = new Rows();
-        int[][] alone = quick ? new int[][] {{100, 200}, {2400, 200}, {2400, 2400}}
-                : new int[][] {{50, 100}, {100, 200}, {300, 300}, {600, 600}, {1200, 1200}, {2400, 100}, {2400, 200}, {2400, 600},
-                    {2400, 1200}, {2400, 2400}};
+        int[][] alone = quick
+                ? new int[][] {{100, 200}, {2400, 200}, {2400, 2400}}
+                : new int[][] {
+                    {50, 100},
+                    {100, 200},
+                    {300, 300},
+                    {600, 600},
+                    {1200, 1200},
+                    {2400, 100},
+                    {2400, 200},
+                    {2400, 600},
+                    {2400, 1200},
+                    {2400, 2400}
+                };
         for (int[] size : alone) {
             told("module", size);
             module(shape(size[0], size[1], 1), rows);
         }
-        int[][] fleets = quick ? new int[][] {{50, 100}, {100, 200}}
+        int[][] fleets = quick
+                ? new int[][] {{50, 100}, {100, 200}}
                 : new int[][] {{50, 100}, {100, 200}, {300, 300}, {600, 600}, {1200, 600}, {2400, 600}};
         for (int[] size : fleets) {
             told("fleet", size);
--- a/src/main/java/rushproxy/hollow/Shape.java
+++ b/src/main/java/rushproxy/simulation/Shape.java
@@ -1,4 +1,4 @@
-package rushproxy.hollow;
+package rushproxy.simulation;
 
 import java.util.HashMap;
 import java.util.Map;
@@ -6,20 +6,21 @@
 import rushproxy.wire.SettingsReader;
 
 /**
- * What a hollow fleet is made of.
+ * What a simulated fleet is made of.
  *
- * @param sidecars      1 or more
- * @param servers       1 or more; of two cores each
- * @param load          requests a second over all sidecars, as a part of what all servers can do when warm
- * @param unevenness    the busiest tenth of the sidecars gets so many times the mean
- * @param listDelayUs   a change reaches each sidecar after a time of its own, up to this
- * @param lostWords     part of the peers' words that never arrive, 0 to 1
- * @param seed          of all that is drawn; the same shape and seed give the same history
+ * @param sidecars 1 or more
+ * @param servers 1 or more; of two cores each
+ * @param load requests a second over all sidecars, as a part of what all servers can do when warm
+ * @param unevenness the busiest tenth of the sidecars gets so many times the mean
+ * @param listDelayUs a change reaches each sidecar after a time of its own, up to this
+ * @param lostWords part of the peers' words that never arrive, 0 to 1
+ * @param seed of all that is drawn; the same shape and seed give the same history
  */
 record Shape(int sidecars, int servers, double load, double unevenness, long listDelayUs, double lostWords, long seed) {
     static final int CORES = 2;
     /** Mean work of a request on one core, exponentially distributed. */
     static final double WORK_US = 80_000;
+
     static final double COLD_SHARE = 0.2;
     static final long RAMP_US = 16_000_000;
     static final double FALL_MULTIPLE = 3;
--- a/src/main/java/rushproxy/hollow/HollowFleet.java
+++ b/src/main/java/rushproxy/simulation/SimulatedFleet.java
@@ -1,4 +1,4 @@
-package rushproxy.hollow;
+package rushproxy.simulation;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -6,7 +6,7 @@
 import rushproxy.Balancer.Upstream;
 
 /** Sidecars, servers, their clients, discovery and the datagrams between peers, on one clock and from one seed. */
-final class HollowFleet {
+final class SimulatedFleet {
     private static final long START_US = 1_000_000_000L;
     private static final long WORD_US = 2_000;
     /** Of the worthier class; the rest are of the other. */
@@ -15,22 +15,22 @@
     private final Shape shape;
     private final Timeline timeline = new Timeline(START_US);
     private final SplittableRandom random;
-    private final List<HollowServer> servers = new ArrayList<>();
-    private final List<HollowSidecar> sidecars = new ArrayList<>();
+    private final List<SimulatedServer> servers = new ArrayList<>();
+    private final List<SimulatedSidecar> sidecars = new ArrayList<>();
     private long taken;
     private long served;
     private long words;
     private long wordBytes;
 
-    HollowFleet(Shape shape) {
+    SimulatedFleet(Shape shape) {
         this.shape = shape;
         random = new SplittableRandom(shape.seed());
         for (int i = 0; i < shape.servers(); i++) {
-            servers.add(new HollowServer("s" + i));
+            servers.add(new SimulatedServer("s" + i));
         }
         List<Upstream> list = list();
         for (int i = 0; i < shape.sidecars(); i++) {
-            sidecars.add(new HollowSidecar(this, i));
+            sidecars.add(new SimulatedSidecar(this, i));
             sidecars.get(i).start(list);
             arrive(i);
         }
@@ -54,7 +54,7 @@
     }
 
     private List<Upstream> list() {
-        return servers.stream().map(HollowServer::entry).toList();
+        return servers.stream().map(SimulatedServer::entry).toList();
     }
 
     private void arrive(int sidecar) {
@@ -70,7 +70,7 @@
     void restartServer(int server) {
         servers.get(server).restart(now());
         Upstream entry = servers.get(server).entry();
-        for (HollowSidecar s : sidecars) {
+        for (SimulatedSidecar s : sidecars) {
             timeline.after((long) (random.nextDouble() * shape.listDelayUs()), () -> s.changed(entry));
         }
     }
@@ -93,7 +93,7 @@
             words++;
             wordBytes += word.length;
             if (random.nextDouble() >= shape.lostWords()) {
-                HollowSidecar peer = sidecars.get(i);
+                SimulatedSidecar peer = sidecars.get(i);
                 timeline.after(WORD_US, () -> peer.heard(from, word));
             }
         }
@@ -114,8 +114,12 @@
 
     /** How far each sidecar that has said it takes the fleet's rate to be off the true one, as a part of it, sorted. */
     double[] rateErrors() {
-        return sidecars.stream().mapToDouble(HollowSidecar::believedRate).filter(r -> r >= 0)
-                .map(r -> Math.abs(r / shape.rate() - 1)).sorted().toArray();
+        return sidecars.stream()
+                .mapToDouble(SimulatedSidecar::believedRate)
+                .filter(r -> r >= 0)
+                .map(r -> Math.abs(r / shape.rate() - 1))
+                .sorted()
+                .toArray();
     }
 
     long words() {
@@ -126,7 +130,7 @@
         return wordBytes;
     }
 
-    List<HollowServer> servers() {
+    List<SimulatedServer> servers() {
         return servers;
     }
 }
--- a/src/main/java/rushproxy/hollow/HollowServer.java
+++ b/src/main/java/rushproxy/simulation/SimulatedServer.java
@@ -1,4 +1,4 @@
-package rushproxy.hollow;
+package rushproxy.simulation;
 
 import java.util.ArrayDeque;
 import java.util.Arrays;
@@ -6,7 +6,7 @@
 import rushproxy.Balancer.UpstreamState;
 
 /** A check server: cores with one queue, cold after its start, and a count of what comes to it while it is. */
-final class HollowServer {
+final class SimulatedServer {
     private final String id;
     private final double[] freeAt = new double[Shape.CORES];
     private final ArrayDeque<Long> coldSends = new ArrayDeque<>();
@@ -16,7 +16,7 @@
     private double couldCold;
     private long countedUs;
 
-    HollowServer(String id) {
+    SimulatedServer(String id) {
         this.id = id;
     }
 
@@ -33,7 +33,9 @@
     }
 
     private double warmth(double now) {
-        return startedUs == 0 ? 1 : Math.min(1, Shape.COLD_SHARE + (1 - Shape.COLD_SHARE) * (now - startedUs) / Shape.RAMP_US);
+        return startedUs == 0
+                ? 1
+                : Math.min(1, Shape.COLD_SHARE + (1 - Shape.COLD_SHARE) * (now - startedUs) / Shape.RAMP_US);
     }
 
     /** Takes a request of so much work and returns when it is done. */
--- a/src/main/java/rushproxy/hollow/HollowSidecar.java
+++ b/src/main/java/rushproxy/simulation/SimulatedSidecar.java
@@ -1,4 +1,4 @@
-package rushproxy.hollow;
+package rushproxy.simulation;
 
 import java.util.HashMap;
 import java.util.List;
@@ -12,19 +12,20 @@
 import rushproxy.Policy;
 
 /** One real module and what stands for its process: nothing but the carrying of its decisions to the models. */
-final class HollowSidecar extends Ignoring {
+final class SimulatedSidecar extends Ignoring {
     private static final Pattern FLEET_RATE = Pattern.compile("^rate \\d+ of (\\d+) a second");
 
-    private final HollowFleet fleet;
+    private final SimulatedFleet fleet;
     private final int me;
     private final Map<String, Integer> attempts = new HashMap<>();
     private Policy module;
     /** Timers and answers of a process that has ended find another number here. */
     private int process;
+
     private long requests;
     private double believedRate = -1;
 
-    HollowSidecar(HollowFleet fleet, int me) {
+    SimulatedSidecar(SimulatedFleet fleet, int me) {
         this.fleet = fleet;
         this.me = me;
     }
@@ -34,8 +35,8 @@
         process++;
         attempts.clear();
         believedRate = -1;
-        module = new Policy(fleet.shape().settings(me), fleet.shape().seed() * 1_000_003 + me * 31L + process,
-                fleet.now(), this);
+        module = new Policy(
+                fleet.shape().settings(me), fleet.shape().seed() * 1_000_003 + me * 31L + process, fleet.now(), this);
         module.onList(fleet.now(), ListKind.FULL, known);
     }
 
@@ -75,8 +76,15 @@
                 attempts.remove(request);
                 fleet.served();
             }
-            module.onOutcome(fleet.now(), request, number, upstream, late ? Outcome.TIMEOUT : Outcome.OK, endUs - sentUs,
-                    !late, null);
+            module.onOutcome(
+                    fleet.now(),
+                    request,
+                    number,
+                    upstream,
+                    late ? Outcome.TIMEOUT : Outcome.OK,
+                    endUs - sentUs,
+                    !late,
+                    null);
         });
     }
 
--- a/src/main/java/rushproxy/wire/LoadValues.java
+++ b/src/main/java/rushproxy/wire/LoadValues.java
@@ -14,7 +14,7 @@
             case "busy_reqs", "inflight" -> inFlight = value;
             case "pending", "queue" -> queued = value;
             case "cpu_share", "util" -> utilisation = value;
-            default -> { }
+            default -> {}
         }
     }
 
--- a/src/main/java/rushproxy/wire/SettingsReader.java
+++ b/src/main/java/rushproxy/wire/SettingsReader.java
@@ -43,34 +43,65 @@
         List<RequestClass> classes = new ArrayList<>();
         for (int i = 0; i < (int) need("profiles.count"); i++) {
             String p = "profiles." + i + ".";
-            classes.add(new RequestClass(word(p + "name"), semantics(word(p + "semantics")),
-                    group(values.getOrDefault(p + "group", "all")), (long) real(p + "window_us", 0),
-                    (long) need(p + "objective_us"), real(p + "aim_stretch", 0), (long) need(p + "give_up_us"),
-                    real(p + "importance", 1), real(p + "late_worth", 0), flag(p + "stream", false)));
+            classes.add(new RequestClass(
+                    word(p + "name"),
+                    semantics(word(p + "semantics")),
+                    group(values.getOrDefault(p + "group", "all")),
+                    (long) real(p + "window_us", 0),
+                    (long) need(p + "objective_us"),
+                    real(p + "aim_stretch", 0),
+                    (long) need(p + "give_up_us"),
+                    real(p + "importance", 1),
+                    real(p + "late_worth", 0),
+                    flag(p + "stream", false)));
         }
         List<Tenant> tenants = new ArrayList<>();
         for (int i = 0; i < (int) real("accounts.count", 0); i++) {
             String p = "accounts." + i + ".";
             tenants.add(new Tenant(word(p + "name"), real(p + "share", 0), real(p + "quota_rps", 0)));
         }
-        Limits limits = new Limits((int) real("limits.max_attempts", 1), flag("limits.second_copies", false),
-                flag("limits.cancelling", false), flag("limits.probing", false), flag("limits.peers", false),
-                flag("limits.retry_after", false), (long) real("limits.max_retry_after_us", 0),
-                (long) real("limits.conn_idle_us", 15_000_000), (long) real("limits.dial_timeout_us", 250_000),
+        Limits limits = new Limits(
+                (int) real("limits.max_attempts", 1),
+                flag("limits.second_copies", false),
+                flag("limits.cancelling", false),
+                flag("limits.probing", false),
+                flag("limits.peers", false),
+                flag("limits.retry_after", false),
+                (long) real("limits.max_retry_after_us", 0),
+                (long) real("limits.conn_idle_us", 15_000_000),
+                (long) real("limits.dial_timeout_us", 250_000),
                 real("limits.cpu_us_per_request", 0));
-        Rules rules = new Rules((long) need("rules.drain_grace_us"), need("rules.cold_share"),
-                (long) need("rules.ramp_time_us"), need("rules.fall_multiple"), (long) need("rules.fall_us"),
-                (long) real("rules.ask_every_us", 0), (long) real("rules.answer_slack_us", 0),
+        Rules rules = new Rules(
+                (long) need("rules.drain_grace_us"),
+                need("rules.cold_share"),
+                (long) need("rules.ramp_time_us"),
+                need("rules.fall_multiple"),
+                (long) need("rules.fall_us"),
+                (long) real("rules.ask_every_us", 0),
+                (long) real("rules.answer_slack_us", 0),
                 (long) real("rules.close_on_drain_within_us", 0));
-        Prices prices = new Prices(real("tariffs.cross_zone", 0), real("tariffs.peer", 0), real("tariffs.probe", 0),
-                real("tariffs.connection", 0), real("tariffs.handshake", 0));
-        return new Settings((int) need("me"), (int) need("balancers"), word("zone"),
+        Prices prices = new Prices(
+                real("tariffs.cross_zone", 0),
+                real("tariffs.peer", 0),
+                real("tariffs.probe", 0),
+                real("tariffs.connection", 0),
+                real("tariffs.handshake", 0));
+        return new Settings(
+                (int) need("me"),
+                (int) need("balancers"),
+                word("zone"),
                 Arrays.asList(values.getOrDefault("azs", word("zone")).split(",")),
-                Arrays.asList(values.getOrDefault("kinds", "").split(",")), classes, tenants, limits, rules,
+                Arrays.asList(values.getOrDefault("kinds", "").split(",")),
+                classes,
+                tenants,
+                limits,
+                rules,
                 reports(values.getOrDefault("load_info.how", "off")),
                 values.getOrDefault("discovery", "pushed").equals("on_request"),
-                values.getOrDefault("counted_by", "request").equals("work"), real("over_share_worth", 1),
-                prices, (long) real("period_us", 1000));
+                values.getOrDefault("counted_by", "request").equals("work"),
+                real("over_share_worth", 1),
+                prices,
+                (long) real("period_us", 1000));
     }
 
     List<String> reportFields() {
--- a/src/main/java/rushproxy/wire/SimHost.java
+++ b/src/main/java/rushproxy/wire/SimHost.java
@@ -17,8 +17,8 @@
 import rushproxy.Balancer.LoadReport;
 import rushproxy.Balancer.Outcome;
 import rushproxy.Balancer.Request;
-import rushproxy.Balancer.UpstreamState;
 import rushproxy.Balancer.Upstream;
+import rushproxy.Balancer.UpstreamState;
 import rushproxy.Policy;
 
 /** Hosts many isolated instances of the module on the simulator's wire. Translates, decides nothing. */
@@ -136,15 +136,20 @@
                 long seed = f.number();
                 SettingsReader reader = new SettingsReader(f);
                 Balancer.Settings settings = reader.read();
-                guarded(name, () -> instances.put(name,
-                        new Instance(new Policy(settings, seed, now, new Writer(name)), reader.reportFields())));
+                guarded(
+                        name,
+                        () -> instances.put(
+                                name,
+                                new Instance(
+                                        new Policy(settings, seed, now, new Writer(name)), reader.reportFields())));
             }
             case "DOWN" -> instances.remove(name);
             case "ANNOUNCE" -> {
                 ListKind kind = listKind(f.number());
                 f.numberOr(0);
                 int number = (int) f.numberOr(-1);
-                List<Upstream> entries = kind == ListKind.FAILED ? List.of()
+                List<Upstream> entries = kind == ListKind.FAILED
+                        ? List.of()
                         : number >= 0 && number < pages.size() ? pages.get(number) : null;
                 if (entries == null) {
                     throw new WireException("ANNOUNCE names PAGE " + number + ", which was never sent");
@@ -170,8 +175,9 @@
                 long latency = f.numberOr(0);
                 boolean done = f.flag();
                 LoadReport report = report(f.textOrNull(), instance.reportFields);
-                guarded(name, () -> instance.balancer.onOutcome(now, id, attempt, upstream, outcome, latency, done,
-                        report));
+                guarded(
+                        name,
+                        () -> instance.balancer.onOutcome(now, id, attempt, upstream, outcome, latency, done, report));
             }
             case "OPENED" -> {
                 String id = f.text();
@@ -214,8 +220,10 @@
             died = true;
             by(name);
             StackTraceElement[] trace = e.getStackTrace();
-            reply.append("DIE ").append(e.toString().replace('\n', ' '))
-                    .append(trace.length > 0 ? " at " + trace[0] : "").append('\n');
+            reply.append("DIE ")
+                    .append(e.toString().replace('\n', ' '))
+                    .append(trace.length > 0 ? " at " + trace[0] : "")
+                    .append('\n');
         }
     }
 
@@ -289,7 +297,13 @@
 
         @Override
         public void send(String request, String upstream, long untilUs) {
-            line("ASSIGN ").append(request).append(' ').append(upstream).append(' ').append(untilUs).append('\n');
+            line("ASSIGN ")
+                    .append(request)
+                    .append(' ')
+                    .append(upstream)
+                    .append(' ')
+                    .append(untilUs)
+                    .append('\n');
         }
 
         @Override
@@ -319,7 +333,11 @@
 
         @Override
         public void tell(int peer, byte[] message) {
-            line("WRITE_PEER ").append(peer).append(' ').append(Base64.getEncoder().encodeToString(message)).append('\n');
+            line("WRITE_PEER ")
+                    .append(peer)
+                    .append(' ')
+                    .append(Base64.getEncoder().encodeToString(message))
+                    .append('\n');
         }
 
         @Override
--- a/src/test/java/rushproxy/MainTest.java
+++ b/src/test/java/rushproxy/MainTest.java
@@ -34,8 +34,10 @@
     }
 
     private List<String> log() throws Exception {
-        return Files.readString(folder.resolve("log"), StandardCharsets.UTF_8).lines()
-                .filter(l -> !l.startsWith("Picked up ")).toList();
+        return Files.readString(folder.resolve("log"), StandardCharsets.UTF_8)
+                .lines()
+                .filter(l -> !l.startsWith("Picked up "))
+                .toList();
     }
 
     @Test
@@ -46,7 +48,8 @@
         assertTrue(log().get(0).contains("'settings' is missing"), log().toString());
     }
 
-    private static final String CONFIG = """
+    private static final String CONFIG =
+            """
             {"listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1","peer_listen":"127.0.0.1:0",
              "known":{"generation":1,"reset":true,"instances":[]},
              "settings":{"me":0,"balancers":1,"zone":"z","discovery":"on_request",
@@ -91,10 +94,16 @@
         assertTrue(p.waitFor(60, TimeUnit.SECONDS));
         List<String> loaded = Files.readAllLines(classes);
         assertTrue(loaded.stream().anyMatch(l -> l.contains("io.netty.buffer.")), "the log of classes is empty");
-        assertEquals(List.of(), loaded.stream().filter(l -> l.contains(" jdk.jfr.internal.PlatformEventType ")).toList());
+        assertEquals(
+                List.of(),
+                loaded.stream()
+                        .filter(l -> l.contains(" jdk.jfr.internal.PlatformEventType "))
+                        .toList());
     }
 
-    /** Comparing records loads a hundred classes, for 0.1 s of a loop that has a part of a core: once in all sidecars. */
+    /**
+     * Comparing records loads a hundred classes, for 0.1 s of a loop that has a part of a core: once in all sidecars.
+     */
     @Test
     void aNewConfigurationIsTakenOverWithoutAFloodOfClasses() throws Exception {
         Path classes = folder.resolve("classes");
@@ -106,8 +115,11 @@
         // The loop has done all of it when this is heard.
         p.destroy();
         assertTrue(p.waitFor(60, TimeUnit.SECONDS));
-        assertEquals(List.of(), Files.readAllLines(classes).stream().filter(l -> l.contains(" java.lang.runtime.ObjectMethods "))
-                .toList());
+        assertEquals(
+                List.of(),
+                Files.readAllLines(classes).stream()
+                        .filter(l -> l.contains(" java.lang.runtime.ObjectMethods "))
+                        .toList());
     }
 
     /** Asked to end it exits with 0 once it is empty, which a signal's own exit code would not tell. */
--- a/src/test/java/rushproxy/ModuleLimitsTest.java
+++ b/src/test/java/rushproxy/ModuleLimitsTest.java
@@ -27,7 +27,8 @@
     @Test
     void theDeployFileNamesTheWholeModule() throws Exception {
         String deploy = Files.readString(Path.of("deploy/balancer.toml"));
-        String policy = deploy.lines().filter(l -> l.startsWith("policy")).findFirst().orElse("");
+        String policy =
+                deploy.lines().filter(l -> l.startsWith("policy")).findFirst().orElse("");
         for (String file : MODULE) {
             assertTrue(policy.contains(file), file);
         }
--- a/src/test/java/rushproxy/PolicyTest.java
+++ b/src/test/java/rushproxy/PolicyTest.java
@@ -189,8 +189,8 @@
     @Test
     void nothingGoesToAServerToldDrainingOrGone() {
         Rig rig = new Rig().start().list(A, B);
-        rig.policy.onList(rig.now, ListKind.DELTA,
-                List.of(new Upstream("a", "za", "k", 1, 0, 1, UpstreamState.DRAINING)));
+        rig.policy.onList(
+                rig.now, ListKind.DELTA, List.of(new Upstream("a", "za", "k", 1, 0, 1, UpstreamState.DRAINING)));
         rig.request("r1").request("r2");
         rig.policy.onList(rig.now, ListKind.FULL, List.of(A));
         rig.after(1).request("r3");
@@ -219,8 +219,8 @@
     }
 
     /**
-     * Incident i60eb35 and the later deployments: hundreds of sidecars are told at one instant, hear nobody,
-     * and all have traffic. Together they stay inside the budget of any window, and somebody warms the server.
+     * Incident i60eb35 and the later deployments: hundreds of sidecars are told at one instant, hear nobody, and all
+     * have traffic. Together they stay inside the budget of any window, and somebody warms the server.
      */
     @Test
     void manySidecarsTogetherStayInsideTheBudgetOfAColdServer() {
@@ -279,7 +279,7 @@
                 rig.after(10_000);
                 if (step % 50 == 0) {
                     for (int peer = 0; peer < 20; peer++) {
-                        PeerWord word = new PeerWord(1);
+                        PeerMessage word = new PeerMessage(1);
                         word.rate = peer == 0 ? 40 : 3;
                         rig.policy.onPeer(rig.now, (peer == 0 ? 0 : i + peer) % n, word.bytes());
                     }
@@ -442,7 +442,10 @@
         assertEquals(0, rig.take("close").size());
         rig.after(1_800_000).request("r2");
         assertEquals(1, rig.take("close a").size());
-        rig.after(75_000).outcome("r2", 0, "a", Outcome.OK, 75_000).after(500_000).request("r3");
+        rig.after(75_000)
+                .outcome("r2", 0, "a", Outcome.OK, 75_000)
+                .after(500_000)
+                .request("r3");
         assertEquals(1, rig.take("close a").size(), "hardly idle: kept");
     }
 
@@ -474,7 +477,7 @@
     }
 
     private static void hear(Rig rig, double rate, double held) {
-        PeerWord word = new PeerWord(1);
+        PeerMessage word = new PeerMessage(1);
         word.rate = rate;
         word.held = held;
         for (int peer = 1; peer < 14; peer++) {
@@ -518,8 +521,8 @@
         for (int i = 0; i < 10; i++) {
             rig.after(i == 0 ? 99_980 : 100_000).request("r" + i);
             rig.fire("tell");
-            assertTrue(rig.lastWord != null && rig.lastWord.rate < 30,
-                    "ten a second, and told are " + rig.lastWord.rate);
+            assertTrue(
+                    rig.lastWord != null && rig.lastWord.rate < 30, "ten a second, and told are " + rig.lastWord.rate);
         }
         assertEquals(10, rig.lastWord.rate, 3);
     }
@@ -553,8 +556,12 @@
             rig.seed = seed;
             rig.reports = Balancer.Reports.NONE;
             // Half warm, with three warm servers beside it: a seventh of the capacity.
-            rig.start().list(A, B, Rig.up("d", "za", 1),
-                    new Upstream("c", "za", "k", 1, rig.now - 12_000_000, 1, UpstreamState.READY));
+            rig.start()
+                    .list(
+                            A,
+                            B,
+                            Rig.up("d", "za", 1),
+                            new Upstream("c", "za", "k", 1, rig.now - 12_000_000, 1, UpstreamState.READY));
             hear(rig, 8, 0);
             rig.after(200_000).request("r");
             cold += "c".equals(rig.sentTo("r", 0)) ? 1 : 0;
@@ -566,7 +573,7 @@
     @Test
     void coresAreLearnedFromThoseThatMeetQueues() {
         Rig rig = oneOfMany();
-        PeerWord word = new PeerWord(1);
+        PeerMessage word = new PeerMessage(1);
         word.slow[0] = 1;
         word.cores[0] = 4;
         word.answers[0] = 40;
@@ -597,7 +604,8 @@
             rig.after(5_000).request("r" + i);
         }
         rig.fire("tell");
-        assertTrue(rig.take("tell").get(0).startsWith("tell -1 "), rig.take("tell").toString());
+        assertTrue(
+                rig.take("tell").get(0).startsWith("tell -1 "), rig.take("tell").toString());
         assertEquals(1, rig.take("tell").size());
     }
 
@@ -656,7 +664,10 @@
             assertEquals("a", rig.sentTo("n" + i, 0), "request " + i);
             rig.after(24_000).outcome("n" + i, 0, "a", Outcome.OK, 24_000);
         }
-        rig.after(50_000).outcome("swallowed", 0, "a", Outcome.TIMEOUT, 800_000).request("r").request("s");
+        rig.after(50_000)
+                .outcome("swallowed", 0, "a", Outcome.TIMEOUT, 800_000)
+                .request("r")
+                .request("s");
         assertEquals("a", rig.sentTo("r", 0));
         assertEquals("a", rig.sentTo("s", 0));
     }
@@ -707,7 +718,9 @@
                     rig.policy.onProbe(rig.now, slow, Outcome.OK, 1_000, new LoadReport(1, 0, 1));
                 }
                 rig.fire("mute:r");
-                assertEquals(mute && semantics == Semantics.SAFE ? 1 : 0, rig.take("send r").size());
+                assertEquals(
+                        mute && semantics == Semantics.SAFE ? 1 : 0,
+                        rig.take("send r").size());
             }
         }
     }
@@ -777,7 +790,9 @@
             assertNull(rig.sentTo("r" + i, 1));
         }
         assertEquals(6, rig.take("fail").size());
-        assertEquals(2, rig.take("send").stream().map(l -> l.split(" ")[2]).distinct().count());
+        assertEquals(
+                2,
+                rig.take("send").stream().map(l -> l.split(" ")[2]).distinct().count());
     }
 
     /** Replaced under ever new ids, servers that are gone would fill the memory over a long day. */
@@ -786,8 +801,12 @@
         Rig rig = new Rig().start().list(A);
         rig.request("r");
         for (int i = 0; i < 50; i++) {
-            rig.policy.onList(rig.now, ListKind.DELTA, List.of(Rig.up("n" + i, "za", 1),
-                    state(i == 0 ? A : Rig.up("n" + (i - 1), "za", 1), UpstreamState.GONE)));
+            rig.policy.onList(
+                    rig.now,
+                    ListKind.DELTA,
+                    List.of(
+                            Rig.up("n" + i, "za", 1),
+                            state(i == 0 ? A : Rig.up("n" + (i - 1), "za", 1), UpstreamState.GONE)));
         }
         assertEquals(2, rig.policy.servers.size());
         rig.outcome("r", 0, "a", Outcome.OK, 1_000);
@@ -865,8 +884,7 @@
         for (long t = 0; t < 120_000; t++) {
             rig.after(1_000);
             if (t % 15 == 0) {
-                rig.policy.onRequest(rig.now, new Request("r" + next, -1, false, false, 100_000, 4_000_000, null,
-                        "c"));
+                rig.policy.onRequest(rig.now, new Request("r" + next, -1, false, false, 100_000, 4_000_000, null, "c"));
                 next++;
             }
             rig.fire("hold");
@@ -1023,8 +1041,8 @@
         assertTrue(rig.take("tell").stream().allMatch(t -> Integer.parseInt(t.split(" ")[1]) < 30));
     }
 
-    private static PeerWord word(int kinds) {
-        PeerWord word = new PeerWord(kinds);
+    private static PeerMessage word(int kinds) {
+        PeerMessage word = new PeerMessage(kinds);
         word.rate = 3;
         return word;
     }
--- a/src/test/java/rushproxy/Rig.java
+++ b/src/test/java/rushproxy/Rig.java
@@ -23,7 +23,7 @@
     long now = 1_000_000_000L;
     Policy policy;
     Settings policySettings;
-    PeerWord lastWord;
+    PeerMessage lastWord;
 
     Semantics semantics = Semantics.SAFE;
     Group group = Group.ALL;
@@ -46,10 +46,22 @@
 
     Rig start() {
         RequestClass c = new RequestClass("c", semantics, group, windowUs, aimUs, 0, 800_000, 3, 0, stream);
-        Settings settings = new Settings(me, balancers, "za", List.of("za", "zb", "zc"), List.of("k"), List.of(c), tenants,
+        Settings settings = new Settings(
+                me,
+                balancers,
+                "za",
+                List.of("za", "zb", "zc"),
+                List.of("k"),
+                List.of(c),
+                tenants,
                 new Limits(maxAttempts, secondCopies, true, probing, peers, true, 1_000_000, 15_000_000, 250_000, 0),
-                new Rules(500_000, 0.13, 24_000_000, 3, 1_000_000, 10_000_000, 5_000, closeOnDrainUs), reports, onRequest,
-                false, 0.1, new Prices(crossZonePrice, 0.01, 0.002, connectionPrice, connectionPrice), 1000);
+                new Rules(500_000, 0.13, 24_000_000, 3, 1_000_000, 10_000_000, 5_000, closeOnDrainUs),
+                reports,
+                onRequest,
+                false,
+                0.1,
+                new Prices(crossZonePrice, 0.01, 0.002, connectionPrice, connectionPrice),
+                1000);
         policySettings = settings;
         policy = new Policy(settings, seed, now, this);
         return this;
@@ -132,7 +144,7 @@
     @Override
     public void tell(int peer, byte[] message) {
         actions.add("tell " + peer + " " + message.length);
-        PeerWord word = new PeerWord(1);
+        PeerMessage word = new PeerMessage(1);
         lastWord = word.read(message) ? word : null;
     }
 
--- a/src/test/java/rushproxy/sidecar/BadInputTest.java
+++ b/src/test/java/rushproxy/sidecar/BadInputTest.java
@@ -40,10 +40,16 @@
         cases.put("GET /elsewhere HTTP/1.1\r\nHost: a\r\n\r\n", 404);
         cases.put("GET /apiary HTTP/1.1\r\nHost: a\r\n\r\n", 404);
         cases.put("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n", 200);
-        cases.put("POST /api HTTP/1.1\r\nX-Txn: a1\r\nX-Lane: k\r\nX-Remaining-Ms: 9000\r\nIdempotency-Key: k1\r\nContent-Length: 65537\r\n\r\n"
-                + "x".repeat(65_537), 413);
-        cases.put("POST /api HTTP/1.1\r\nX-Txn: a1\r\nX-Lane: k\r\nX-Remaining-Ms: 9000\r\nIdempotency-Key: k1\r\nContent-Length: 65536\r\n\r\n"
-                + "x".repeat(65_536), 200);
+        cases.put(
+                "POST /api HTTP/1.1\r\nX-Txn: a1\r\nX-Lane: k\r\nX-Remaining-Ms: 9000\r\n"
+                        + "Idempotency-Key: k1\r\nContent-Length: 65537\r\n\r\n"
+                        + "x".repeat(65_537),
+                413);
+        cases.put(
+                "POST /api HTTP/1.1\r\nX-Txn: a1\r\nX-Lane: k\r\nX-Remaining-Ms: 9000\r\n"
+                        + "Idempotency-Key: k1\r\nContent-Length: 65536\r\n\r\n"
+                        + "x".repeat(65_536),
+                200);
         try (Rig rig = new Rig()) {
             rig.upstream((m, line) -> line.answer("200 OK", "", "ok"));
             rig.start();
@@ -51,15 +57,18 @@
             for (Map.Entry<String, Integer> c : cases.entrySet()) {
                 try (Peer.Client client = rig.client()) {
                     client.send(c.getKey());
-                    assertEquals(c.getValue(), client.status(), c.getKey().lines().limit(9).toList().toString());
+                    assertEquals(
+                            c.getValue(),
+                            client.status(),
+                            c.getKey().lines().limit(9).toList().toString());
                 }
             }
         }
     }
 
     /**
-     * What stands behind a request whose end two readers may see in two places must reach no upstream, and the
-     * error comes without waiting for a body that was announced as huge.
+     * What stands behind a request whose end two readers may see in two places must reach no upstream, and the error
+     * comes without waiting for a body that was announced as huge.
      */
     @Test
     void nothingHiddenInABodyPassesAndTheConnectionEnds() throws Exception {
@@ -106,7 +115,8 @@
             });
             rig.start();
             try (Peer.Client client = rig.client()) {
-                client.send(Rig.get("a1", 20_000) + "POST /api HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 70000\r\n\r\n");
+                client.send(Rig.get("a1", 20_000)
+                        + "POST /api HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 70000\r\n\r\n");
                 rig.await("request a1");
                 answer.countDown();
                 assertEquals("first", client.answer().body());
@@ -122,8 +132,10 @@
         try (Rig rig = new Rig()) {
             rig.upstream((m, line) -> line.answer("200 OK", "", "ok"));
             rig.start();
-            try (Peer.Client silent = rig.client(); Peer.Client half = rig.client(); Peer.Client body = rig.client();
-                 Peer.Client once = rig.client()) {
+            try (Peer.Client silent = rig.client();
+                    Peer.Client half = rig.client();
+                    Peer.Client body = rig.client();
+                    Peer.Client once = rig.client()) {
                 half.send("GET /api HTTP/1.1\r\nX-T");
                 body.send("POST /api HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf");
                 once.send(Rig.get("a1", 20_000));
@@ -155,9 +167,10 @@
     @Test
     void theIdOfAnOpenRequestIsTaken() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
-            try (Peer.Client one = rig.client(); Peer.Client other = rig.client()) {
+            try (Peer.Client one = rig.client();
+                    Peer.Client other = rig.client()) {
                 one.send(Rig.get("a1", 20_000));
                 rig.await("request a1");
                 other.send(Rig.get("a1", 20_000));
@@ -188,8 +201,10 @@
 
     @Test
     void aBrokenConfigurationIsOneLineThatNamesTheField() throws Exception {
-        String good = "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:9\",\"seed\":\"8c1f30d27a5be964\","
-                + "\"peers\":[\"127.0.0.1:7\"],\"known\":" + Rig.list(1, true, Rig.entry("u", "127.0.0.1:8", "Ready", 7))
+        String good = "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:9\","
+                + "\"seed\":\"8c1f30d27a5be964\","
+                + "\"peers\":[\"127.0.0.1:7\"],\"known\":"
+                + Rig.list(1, true, Rig.entry("u", "127.0.0.1:8", "Ready", 7))
                 + ",\"settings\":" + Rig.SETTINGS + ",\"new\":{\"x\":[1]}}";
         assertEquals(7000, Rig.config(good).known().entries().get(0).upstream().startedUs());
         assertEquals(0x8c1f30d27a5be964L, Rig.config(good).seed());
--- a/src/test/java/rushproxy/sidecar/DescriptorsTest.java
+++ b/src/test/java/rushproxy/sidecar/DescriptorsTest.java
@@ -9,7 +9,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Idle clients may fill what descriptors there are, while discovery is away: what the service needs is left all the same. */
+/**
+ * Idle clients may fill what descriptors there are, while discovery is away: what the service needs is left all the
+ * same.
+ */
 @Timeout(60)
 class DescriptorsTest {
     /** For the program's files, its logs and class files, its listeners, and the connection to discovery. */
@@ -19,7 +22,7 @@
     @ValueSource(ints = {256, 1024})
     void idleClientsLeaveDescriptorsForDiscoveryForUpstreamsAndForWhoAsks(int sockets) throws Exception {
         List<Peer.Client> idle = new ArrayList<>();
-        try (Rig rig = new Rig((m, line) -> { })) {
+        try (Rig rig = new Rig((m, line) -> {})) {
             rig.sockets = sockets;
             rig.upstream((m, line) -> line.answer("200 OK", "", "served"));
             rig.start();
--- a/src/test/java/rushproxy/sidecar/DiscoveryTest.java
+++ b/src/test/java/rushproxy/sidecar/DiscoveryTest.java
@@ -16,6 +16,7 @@
     private static final String DRAINS = UP.replace("Ready", "Terminating");
     /** Waits, and pauses after a second failure, for longer than a test does. */
     private static final Discovery.Patience PATIENT = new Discovery.Patience(3_600_000, 0, 3_600_000);
+
     private static final long HOUR_US = 3_600_000_000L;
 
     private static Rig pushed(Discovery.Patience patience, Peer.Script script) throws Exception {
@@ -24,7 +25,7 @@
         rig.asks = false;
         rig.patience = patience;
         rig.backoff = new Backoff(HOUR_US, HOUR_US, bound -> 0);
-        rig.upstream((m, line) -> { });
+        rig.upstream((m, line) -> {});
         return rig.start();
     }
 
@@ -36,10 +37,10 @@
                 case 1 -> line.answer("200 OK", "", Rig.list(41, false));
                 case 2 -> line.answer("200 OK", "", Rig.list(42, false, UP.replace("Ready", "Terminating")));
                 case 3 -> line.answer("200 OK", "Connection: close\r\n", Rig.list(44, true, UP));
-                default -> { }
+                default -> {}
             }
         })) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             assertEquals("list CACHED u0=READY", rig.await("list"));
             // The first answer tells the module that it is subscribed, even without a change.
@@ -56,19 +57,29 @@
     /** A bad answer is a failed call; taken for an empty list it would end all service. */
     @Test
     void aBadAnswerIsAFailedCallAndThenTheWholeListIsAskedFor() throws Exception {
-        String[] bad = {"no json", "", "{}", "[]", "null", "{\"generation\":50,\"reset\":true,\"instances\":[]}",
-            "{\"generation\":50,\"reset\":true}", Rig.list(40, false, UP), Rig.list(50, false, UP.replace("Ready", "?")),
-            Rig.list(50, true, UP.replace("127.0.0.1:9", "nowhere")), "{\"generation\":50,\"reset\":true,\"instances\":[7]}"};
+        String[] bad = {
+            "no json",
+            "",
+            "{}",
+            "[]",
+            "null",
+            "{\"generation\":50,\"reset\":true,\"instances\":[]}",
+            "{\"generation\":50,\"reset\":true}",
+            Rig.list(40, false, UP),
+            Rig.list(50, false, UP.replace("Ready", "?")),
+            Rig.list(50, true, UP.replace("127.0.0.1:9", "nowhere")),
+            "{\"generation\":50,\"reset\":true,\"instances\":[7]}"
+        };
         for (String answer : bad) {
             AtomicInteger calls = new AtomicInteger();
             try (Rig rig = new Rig((m, line) -> {
                 switch (calls.incrementAndGet()) {
                     case 1 -> line.answer("200 OK", "", answer);
                     case 2 -> line.answer("200 OK", "", Rig.list(60, true, UP));
-                    default -> { }
+                    default -> {}
                 }
             })) {
-                rig.upstream((m, line) -> { });
+                rig.upstream((m, line) -> {});
                 rig.start();
                 rig.await("list CACHED");
                 assertEquals("list FAILED ", rig.await("list"), answer);
@@ -89,10 +100,10 @@
                 case 2 -> line.reset();
                 case 3 -> line.raw("HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n");
                 case 4 -> line.answer("200 OK", "", Rig.list(43, false, UP));
-                default -> { }
+                default -> {}
             }
         })) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             rig.await("list CACHED");
             for (int i = 0; i < 3; i++) {
@@ -112,12 +123,12 @@
                 case 1 -> line.answer("200 OK", "", Rig.list(41, false));
                 case 2 -> line.answer("503 Down", "", "");
                 case 3 -> line.answer("200 OK", "", Rig.list(42, false, UP));
-                default -> { }
+                default -> {}
             }
         })) {
             rig.settings = rig.settings.replace("on_request", "pushed");
             rig.asks = false;
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             rig.await("list CACHED");
             assertEquals("list DELTA u0=READY", rig.await("list"), "told of a call it has not made, or of no change");
@@ -131,12 +142,12 @@
     @Test
     void anotherServiceIsAskedForTheWholeListAtOnce() throws Exception {
         try (Peer next = new Peer((m, line) -> {
-            if (m.path().equals("/registry/instances")) {
-                line.answer("200 OK", "", Rig.list(3, true, UP));
-            }
-        });
-             Rig rig = new Rig((m, line) -> { })) {
-            rig.upstream((m, line) -> { });
+                    if (m.path().equals("/registry/instances")) {
+                        line.answer("200 OK", "", Rig.list(3, true, UP));
+                    }
+                });
+                Rig rig = new Rig((m, line) -> {})) {
+            rig.upstream((m, line) -> {});
             rig.patience = PATIENT;
             rig.start();
             rig.await("list CACHED");
@@ -160,7 +171,7 @@
                 case 3 -> line.answer("200 OK", "", Rig.list(42, false, DRAINS));
                 case 4 -> line.socket().close();
                 case 5 -> line.answer("200 OK", "", Rig.list(43, false, UP));
-                default -> { }
+                default -> {}
             }
         })) {
             rig.await("list CACHED");
@@ -176,7 +187,7 @@
         try (Rig rig = pushed(new Discovery.Patience(1, 100, 3_600_000), (m, line) -> {
             switch (calls.incrementAndGet()) {
                 case 1 -> line.answer("200 OK", "", Rig.list(41, false));
-                case 2 -> { }
+                case 2 -> {}
                 default -> line.answer("200 OK", "", Rig.list(42, false, DRAINS));
             }
         })) {
@@ -214,7 +225,7 @@
     /** While discovery is down nothing is to be had from it, and the list of the start has to do. */
     @Test
     void aSidecarIsReadyAllTheSameWhereNobodyAnswers() throws Exception {
-        try (Rig rig = pushed(new Discovery.Patience(3_600_000, 0, 1), (m, line) -> { })) {
+        try (Rig rig = pushed(new Discovery.Patience(3_600_000, 0, 1), (m, line) -> {})) {
             while (ready(rig) != 200) {
                 Thread.onSpinWait();
             }
--- a/src/test/java/rushproxy/sidecar/FaultBarrierTest.java
+++ b/src/test/java/rushproxy/sidecar/FaultBarrierTest.java
@@ -6,7 +6,10 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** Errors of the kinds that a running process meets, forced in the module: the process goes on, and the request is answered. */
+/**
+ * Errors of the kinds that a running process meets, forced in the module: the process goes on, and the request is
+ * answered.
+ */
 @Timeout(60)
 class FaultBarrierTest {
     private static int overflow(int depth) {
@@ -37,7 +40,8 @@
             rig.upstream((m, line) -> line.answer("200 OK", "", "ok"));
             rig.onRequest = (now, r, out) -> {
                 if (r.id().startsWith("fault-")) {
-                    FAULTS.get(Integer.parseInt(r.id().substring("fault-".length()))).run();
+                    FAULTS.get(Integer.parseInt(r.id().substring("fault-".length())))
+                            .run();
                 }
                 out.send(r.id(), "u0", 0);
             };
@@ -60,7 +64,8 @@
         try (Rig rig = new Rig()) {
             rig.onRequest = (now, r, out) -> out.timer("break", 1_000);
             rig.start();
-            try (Peer.Client asking = rig.client(); Peer.Client silent = rig.client()) {
+            try (Peer.Client asking = rig.client();
+                    Peer.Client silent = rig.client()) {
                 asking.send(Rig.get("a", 60_000));
                 // The module breaks in its timer, and what it held is answered.
                 assertEquals(502, asking.status());
--- a/src/test/java/rushproxy/sidecar/HeaderValuesTest.java
+++ b/src/test/java/rushproxy/sidecar/HeaderValuesTest.java
@@ -37,8 +37,10 @@
         assertEquals(WORD.matcher(text).matches(), HeaderValues.isWord(text), text);
         assertEquals(TARGET.matcher(text).matches(), HeaderValues.isTarget(text), text);
         assertEquals(WHOLE.matcher(text).matches() ? Long.parseLong(text) : -1, HeaderValues.whole(text), text);
-        assertEquals(HEX.matcher(text).matches() ? Long.parseUnsignedLong(text, 16) : text.hashCode(),
-                HeaderValues.hexOrHash(text), text);
+        assertEquals(
+                HEX.matcher(text).matches() ? Long.parseUnsignedLong(text, 16) : text.hashCode(),
+                HeaderValues.hexOrHash(text),
+                text);
         assertEquals(text.split("\\?", 2)[0], HeaderValues.path(text), text);
     }
 
--- a/src/test/java/rushproxy/sidecar/JsonTest.java
+++ b/src/test/java/rushproxy/sidecar/JsonTest.java
@@ -15,12 +15,15 @@
 
     @Test
     void eachKindOfValueIsRead() {
-        Json json = parse(" {\n \"a\" : {\"b\":[1,-2.5e1,\"x\\u00e9\",true,null,[]]}, \"n\":null, \"big\":9007199254740993,\n"
-                + "\"list\":[{\"i\":1},{\"i\":2}],\"flag\":false,\"texts\":[\"p\",\"q\"]}");
+        Json json = parse(
+                " {\n \"a\" : {\"b\":[1,-2.5e1,\"x\\u00e9\",true,null,[]]}, \"n\":null, \"big\":9007199254740993,\n"
+                        + "\"list\":[{\"i\":1},{\"i\":2}],\"flag\":false,\"texts\":[\"p\",\"q\"]}");
         assertEquals("1,-25.0,x\u00e9,true,null,[]", json.object("a").flat().get("b"));
         assertFalse(json.has("n"));
         assertEquals(9_007_199_254_740_993L, json.number("big"));
-        assertEquals(List.of(1L, 2L), json.objects("list").stream().map(o -> o.number("i")).toList());
+        assertEquals(
+                List.of(1L, 2L),
+                json.objects("list").stream().map(o -> o.number("i")).toList());
         assertFalse(json.flag("flag"));
         assertEquals(List.of("p", "q"), json.textsOrNone("texts"));
         assertEquals("2", json.flat().get("list.count"));
@@ -34,8 +37,8 @@
             String text = whole.substring(0, cut);
             assertThrows(IllegalArgumentException.class, () -> parse(text), text);
         }
-        for (String text : List.of("[]", "1", "null", "{\"a\":}", "{a:1}", "{\"a\":1,}", "[".repeat(5_000),
-                "{\"a\":".repeat(5_000))) {
+        for (String text : List.of(
+                "[]", "1", "null", "{\"a\":}", "{a:1}", "{\"a\":1,}", "[".repeat(5_000), "{\"a\":".repeat(5_000))) {
             assertThrows(IllegalArgumentException.class, () -> parse(text), text);
         }
     }
--- a/src/test/java/rushproxy/sidecar/LateLoopTest.java
+++ b/src/test/java/rushproxy/sidecar/LateLoopTest.java
@@ -29,8 +29,10 @@
                 }
             };
             rig.start();
-            try (Peer.Client first = rig.client(); Peer.Client second = rig.client(); Peer.Client tooLate = rig.client();
-                 Peer.Client inTime = rig.client()) {
+            try (Peer.Client first = rig.client();
+                    Peer.Client second = rig.client();
+                    Peer.Client tooLate = rig.client();
+                    Peer.Client inTime = rig.client()) {
                 first.send(Rig.get("held-1", SHORT_MS + 100));
                 rig.await("request held-1");
                 second.send(Rig.get("held-2", SHORT_MS));
@@ -67,7 +69,7 @@
     @Test
     void answersLeaveEarlierWhereTheLoopWasLate() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.onRequest = (now, r, out) -> { };
+            rig.onRequest = (now, r, out) -> {};
             rig.start();
             try (Peer.Client client = rig.client()) {
                 client.send(Rig.get("before", LONG_MS));
--- a/src/test/java/rushproxy/sidecar/LeavingTest.java
+++ b/src/test/java/rushproxy/sidecar/LeavingTest.java
@@ -98,8 +98,10 @@
         try (ServerSocket late = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             rig.discovery.script = (m, line) -> {
                 if (m.path().contains("index=41&")) {
-                    line.answer("200 OK", "", Rig.list(42, false, Rig.entry("late", "127.0.0.1:" + late.getLocalPort(),
-                            "Ready", 0)));
+                    line.answer(
+                            "200 OK",
+                            "",
+                            Rig.list(42, false, Rig.entry("late", "127.0.0.1:" + late.getLocalPort(), "Ready", 0)));
                 }
             };
             Rig.OnRequest usual = rig.onRequest;
@@ -114,7 +116,8 @@
             rig.await("list DELTA late=READY");
             try (Peer.Client holder = rig.client()) {
                 for (int i = 0; i < 3; i++) {
-                    List<Socket> fillers = List.of(new Socket(late.getInetAddress(), late.getLocalPort()),
+                    List<Socket> fillers = List.of(
+                            new Socket(late.getInetAddress(), late.getLocalPort()),
                             new Socket(late.getInetAddress(), late.getLocalPort()));
                     Peer.Client client = rig.client();
                     client.send(Rig.get("gone" + i, 20_000));
--- a/src/test/java/rushproxy/sidecar/LogTest.java
+++ b/src/test/java/rushproxy/sidecar/LogTest.java
@@ -33,7 +33,10 @@
         }
 
         List<String> marked() {
-            return toString(StandardCharsets.UTF_8).lines().filter(l -> l.contains(MARK)).toList();
+            return toString(StandardCharsets.UTF_8)
+                    .lines()
+                    .filter(l -> l.contains(MARK))
+                    .toList();
         }
     }
 
@@ -52,11 +55,15 @@
             assertEquals(0, pipe.marked().size());
             pipe.released.countDown();
             Log.drain();
-            String told = pipe.toString(StandardCharsets.UTF_8).lines().filter(l -> l.contains(" lines were dropped"))
-                    .findFirst().orElseThrow();
+            String told = pipe.toString(StandardCharsets.UTF_8)
+                    .lines()
+                    .filter(l -> l.contains(" lines were dropped"))
+                    .findFirst()
+                    .orElseThrow();
             int dropped = Integer.parseInt(told.replace("rushproxy: ", "").split(" ")[0]);
             // Others may log in this process too.
-            assertTrue(pipe.marked().size() <= Log.MOST_WAITING + 1, pipe.marked().size() + " lines");
+            assertTrue(
+                    pipe.marked().size() <= Log.MOST_WAITING + 1, pipe.marked().size() + " lines");
             assertTrue(pipe.marked().size() + dropped >= most + 1, pipe.marked().size() + " lines, " + told);
             assertTrue(pipe.marked().get(0).endsWith("first"));
         } finally {
--- a/src/test/java/rushproxy/sidecar/OutcomesTest.java
+++ b/src/test/java/rushproxy/sidecar/OutcomesTest.java
@@ -31,20 +31,24 @@
         try {
             outcome("SPOILT false -", 502, (m, line) -> line.raw(answer));
         } catch (AssertionError e) {
-            throw new AssertionError("taken for an answer: " + answer.lines().limit(4).toList(), e);
+            throw new AssertionError(
+                    "taken for an answer: " + answer.lines().limit(4).toList(), e);
         }
     }
 
     @Test
     void aServedAnswerCarriesItsLoadReport() throws Exception {
-        outcome("OK true 7.0", 200, (m, line) ->
-                line.answer("200 OK", "X-Pressure: TEXT inflight=7, queue=2, util=0.61\r\n", "slot"));
+        outcome(
+                "OK true 7.0",
+                200,
+                (m, line) -> line.answer("200 OK", "X-Pressure: TEXT inflight=7, queue=2, util=0.61\r\n", "slot"));
     }
 
     @Test
     void malformedLoadReportsAreNoReports() throws Exception {
-        for (String report : new String[] {"TEXT inflight=", "TEXT inflight=NaN", "TEXT inflight=-1", "TEXT inflight=1e300, queue=0",
-            "JSON {}", "TEXT"}) {
+        for (String report : new String[] {
+            "TEXT inflight=", "TEXT inflight=NaN", "TEXT inflight=-1", "TEXT inflight=1e300, queue=0", "JSON {}", "TEXT"
+        }) {
             outcome("OK true -", 200, (m, line) -> line.answer("200 OK", "X-Pressure: " + report + "\r\n", "slot"));
         }
     }
@@ -69,8 +73,8 @@
     }
 
     /**
-     * Whatever can't be told from an answer cut short, or from noise, must not be served. The connection stays open
-     * at the other end, so each of these has to be noticed without its help and long before the deadline.
+     * Whatever can't be told from an answer cut short, or from noise, must not be served. The connection stays open at
+     * the other end, so each of these has to be noticed without its help and long before the deadline.
      */
     @Test
     void whatIsNoAnswerIsSpoiltAndServedToNobody() throws Exception {
@@ -93,7 +97,8 @@
             ok + "\r\nslot",
             ok + "a line without a colon\r\nContent-Length: 4\r\n\r\nslot",
             "HTTP/1.1 101 Switching Protocols\r\nUpgrade: odd\r\nConnection: upgrade\r\n\r\nslot",
-            "HTTP/9.9 twohundred OK\r\nContent-Length: 4\r\n\r\nslot"}) {
+            "HTTP/9.9 twohundred OK\r\nContent-Length: 4\r\n\r\nslot"
+        }) {
             spoilt(answer);
         }
         outcome("SPOILT false -", 502, (m, line) -> {
@@ -105,11 +110,15 @@
     /** What comes behind an answer belongs to no request: it must not become the answer to the next one. */
     @Test
     void whatComesBehindAnAnswerIsServedToNobody() throws Exception {
-        for (String behind : new String[] {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncopy", "noise",
-            "noise\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Le"}) {
+        for (String behind : new String[] {
+            "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncopy",
+            "noise",
+            "noise\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Le"
+        }) {
             try (Rig rig = new Rig()) {
-                Peer up = rig.upstream((m, line) -> line.raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
-                        + m.header("X-Txn") + behind));
+                Peer up = rig.upstream((m, line) ->
+                        line.raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n" + m.header("X-Txn") + behind));
                 rig.start();
                 try (Peer.Client client = rig.client()) {
                     for (String id : new String[] {"a1", "a2", "a3"}) {
@@ -153,7 +162,7 @@
     @Test
     void aRefusedConnectionCouldNotConnect() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { }).close();
+            rig.upstream((m, line) -> {}).close();
             rig.start();
             try (Peer.Client client = rig.client()) {
                 client.send(Rig.get("a1", 20_000));
@@ -166,7 +175,7 @@
     @Test
     void aTimeOutClosesTheConnectionAndTheNextCallOpensAnother() throws Exception {
         try (Rig rig = new Rig()) {
-            Peer up = rig.upstream((m, line) -> { });
+            Peer up = rig.upstream((m, line) -> {});
             rig.onRequest = (now, r, out) -> out.send(r.id(), "u0", now + 100_000);
             rig.start();
             try (Peer.Client client = rig.client()) {
@@ -186,7 +195,7 @@
     @Test
     void aCancelledAttemptClosesItsConnection() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.onRequest = (now, r, out) -> {
                 out.send(r.id(), "u0", 0);
                 out.cancel(r.id(), 0);
@@ -263,8 +272,9 @@
             Peer up = rig.upstream((m, line) -> line.answer("200 OK", "", "b\u00f6dy\u0000" + "y".repeat(60_000)));
             rig.start();
             try (Peer.Client client = rig.client()) {
-                client.send("POST /api/x?y=%20z HTTP/1.1\r\nHost: a\r\nX-Txn: q7\r\nX-Lane: k\r\nX-Remaining-Ms: 9000\r\n"
-                        + "Idempotency-Key: k9\r\nContent-Length: 5\r\n\r\nh\u00e9llo");
+                client.send(
+                        "POST /api/x?y=%20z HTTP/1.1\r\nHost: a\r\nX-Txn: q7\r\nX-Lane: k\r\nX-Remaining-Ms: 9000\r\n"
+                                + "Idempotency-Key: k9\r\nContent-Length: 5\r\n\r\nh\u00e9llo");
                 Peer.Message answer = client.answer();
                 assertEquals("b\u00f6dy\u0000" + "y".repeat(60_000), answer.body());
                 Peer.Message sent = up.next();
--- a/src/test/java/rushproxy/sidecar/Peer.java
+++ b/src/test/java/rushproxy/sidecar/Peer.java
@@ -28,8 +28,12 @@
 
         /** Null where there is no such header. */
         String header(String name) {
-            return head.lines().skip(1).filter(l -> l.toLowerCase().startsWith(name.toLowerCase() + ":"))
-                    .map(l -> l.substring(name.length() + 1).trim()).findFirst().orElse(null);
+            return head.lines()
+                    .skip(1)
+                    .filter(l -> l.toLowerCase().startsWith(name.toLowerCase() + ":"))
+                    .map(l -> l.substring(name.length() + 1).trim())
+                    .findFirst()
+                    .orElse(null);
         }
     }
 
--- a/src/test/java/rushproxy/sidecar/PeersTest.java
+++ b/src/test/java/rushproxy/sidecar/PeersTest.java
@@ -19,10 +19,12 @@
 
     @Test
     void onlyPeersAreHeardAndOnlyWhatFits() throws Exception {
-        try (DatagramSocket peer = socket(); DatagramSocket stranger = socket(); DatagramSocket everyone = socket();
-             Rig rig = new Rig()) {
-            rig.peerFields = "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"127.0.0.1:9\",\"127.0.0.1:" + peer.getLocalPort()
-                    + "\"],\"peers_all\":\"127.0.0.1:" + everyone.getLocalPort() + "\",";
+        try (DatagramSocket peer = socket();
+                DatagramSocket stranger = socket();
+                DatagramSocket everyone = socket();
+                Rig rig = new Rig()) {
+            rig.peerFields = "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"127.0.0.1:9\",\"127.0.0.1:"
+                    + peer.getLocalPort() + "\"],\"peers_all\":\"127.0.0.1:" + everyone.getLocalPort() + "\",";
             rig.onRequest = (now, r, out) -> {
                 out.tell(1, new byte[5]);
                 out.tell(7, new byte[5]);
--- a/src/test/java/rushproxy/sidecar/RehearsalTest.java
+++ b/src/test/java/rushproxy/sidecar/RehearsalTest.java
@@ -22,18 +22,22 @@
         CountDownLatch many = new CountDownLatch(1);
         Sidecar.Module counting = (config, now, actions) -> {
             Balancer policy = new Policy(config.settings(), config.seed(), now, actions);
-            return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(), new Class<?>[] {Balancer.class},
-                    (proxy, method, arguments) -> {
-                        if (method.getName().equals("onOutcome") && arguments[4] == Outcome.OK
+            return (Balancer) Proxy.newProxyInstance(
+                    Balancer.class.getClassLoader(), new Class<?>[] {Balancer.class}, (proxy, method, arguments) -> {
+                        if (method.getName().equals("onOutcome")
+                                && arguments[4] == Outcome.OK
                                 && served.incrementAndGet() >= 10) {
                             many.countDown();
                         }
                         return method.invoke(policy, arguments);
                     });
         };
-        Rehearsal rehearsal = new Rehearsal(Rig.config("{\"name\":\"n\",\"listen\":\"127.0.0.1:0\","
-                + "\"discovery\":\"127.0.0.1:9\",\"seed\":\"1\",\"known\":" + Rig.list(1, true) + ",\"settings\":"
-                + Rig.SETTINGS + "}"), counting);
+        Rehearsal rehearsal = new Rehearsal(
+                Rig.config("{\"name\":\"n\",\"listen\":\"127.0.0.1:0\","
+                        + "\"discovery\":\"127.0.0.1:9\",\"seed\":\"1\",\"known\":" + Rig.list(1, true)
+                        + ",\"settings\":"
+                        + Rig.SETTINGS + "}"),
+                counting);
         rehearsal.play();
         assertTrue(many.await(0, TimeUnit.SECONDS), served + " were served");
         // Nor any longer than it helps: the application waits for its end.
--- a/src/test/java/rushproxy/sidecar/ReloadTest.java
+++ b/src/test/java/rushproxy/sidecar/ReloadTest.java
@@ -40,8 +40,9 @@
                 old.send(get("old", "c"));
                 up.next();
                 assertStarts("HTTP/1.1 400 ", rig, get("n0", "fresh"));
-                rig.settings = Rig.SETTINGS.replace("\"name\":\"c\"", "\"name\":\"fresh\"").replace("\"max_attempts\":4",
-                        "\"max_attempts\":1");
+                rig.settings = Rig.SETTINGS
+                        .replace("\"name\":\"c\"", "\"name\":\"fresh\"")
+                        .replace("\"max_attempts\":4", "\"max_attempts\":1");
                 rig.reload(rig.discovery.address());
                 assertEquals("settings fresh,k", rig.await("settings"));
                 reloaded.countDown();
@@ -92,8 +93,9 @@
     /** Where only discovery has moved, nothing that was learned is put in doubt. */
     @Test
     void settingsThatAreTheSameAreNoNews() throws Exception {
-        try (Rig rig = new Rig(); Peer elsewhere = new Peer((m, line) -> line.answer("200 OK", "", Rig.list(7, true,
-                Rig.entry("u5", "127.0.0.1:9", "Ready", 0))))) {
+        try (Rig rig = new Rig();
+                Peer elsewhere = new Peer((m, line) ->
+                        line.answer("200 OK", "", Rig.list(7, true, Rig.entry("u5", "127.0.0.1:9", "Ready", 0))))) {
             rig.start();
             rig.reload(elsewhere.address());
             String list;
--- a/src/test/java/rushproxy/sidecar/RequestLifeTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestLifeTest.java
@@ -36,7 +36,7 @@
     @Test
     void aRequestThatTheModuleHoldsIsAnsweredBeforeItsTimeIsUp() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.onRequest = (now, r, out) -> { };
+            rig.onRequest = (now, r, out) -> {};
             rig.start();
             try (Peer.Client client = rig.client()) {
                 client.send(Rig.get("a1", 300));
@@ -49,7 +49,7 @@
     @Test
     void attemptsAreGivenUpAtTheDeadlineAndTheModuleAnswers() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.onRequest = (now, r, out) -> out.send(r.id(), "u0", now + 60_000_000);
             rig.start();
             try (Peer.Client client = rig.client()) {
@@ -88,7 +88,7 @@
     @Test
     void aClientThatLeavesEndsItsRequestAndNoOther() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             try (Peer.Client client = rig.client()) {
                 client.send(Rig.get("a1", 20_000));
@@ -107,7 +107,7 @@
     @Test
     void aClientThatEndsItsSendingHasLeft() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             try (Peer.Client client = rig.client()) {
                 client.send(Rig.get("a1", 20_000));
@@ -131,7 +131,7 @@
             });
             rig.upstream((m, line) -> line.answer("200 OK", "", "second"));
             rig.onRequest = (now, r, out) -> out.send(r.id(), "u0", 0);
-            rig.onOutcome = (id, outcome, done, out) -> { };
+            rig.onOutcome = (id, outcome, done, out) -> {};
             rig.start();
             try (Peer.Client client = rig.client()) {
                 client.send(Rig.get("a1", 20_000));
@@ -207,7 +207,7 @@
     void whoSendsMuchAtOnceAndGoesIsSeenToLeave() throws Exception {
         for (int count : new int[] {2, 20, 2_000}) {
             try (Rig rig = new Rig()) {
-                rig.upstream((m, line) -> { });
+                rig.upstream((m, line) -> {});
                 rig.start();
                 rig.await("list DELTA");
                 try (Peer.Client client = rig.client()) {
@@ -257,7 +257,7 @@
     @Test
     void whatClientsLeaveOfTheDescriptorsIsForUpstreams() throws Exception {
         try (Rig rig = new Rig()) {
-            Peer silent = rig.upstream((m, line) -> { });
+            Peer silent = rig.upstream((m, line) -> {});
             // 48 for the program itself, and as many clients as may have requests: a third.
             rig.sockets = 192;
             rig.start();
--- a/src/test/java/rushproxy/sidecar/RequestsTest.java
+++ b/src/test/java/rushproxy/sidecar/RequestsTest.java
@@ -30,16 +30,23 @@
     @BeforeEach
     void start() throws Exception {
         loop.submit(() -> {
-            Decisions decisions = new Decisions(clock, new EventLoopMonitor(clock));
-            decisions.start(out -> (Balancer) Proxy.newProxyInstance(getClass().getClassLoader(),
-                    new Class<?>[] {Balancer.class}, (self, method, arguments) -> {
-                        told.add(method.getName() + (method.getName().equals("onOutcome")
-                                ? " " + arguments[1] + " " + arguments[4] + " " + arguments[6] : ""));
-                        return null;
-                    }), null);
-            upstreams = new Upstreams(reads, 15_000_000, 0, 2_000_000, 20_000, () -> 100, new Totals());
-            requests = new Requests(loop, clock, decisions, upstreams, 4, new Totals());
-        }).sync();
+                    Decisions decisions = new Decisions(clock, new EventLoopMonitor(clock));
+                    decisions.start(
+                            out -> (Balancer) Proxy.newProxyInstance(
+                                    getClass().getClassLoader(),
+                                    new Class<?>[] {Balancer.class},
+                                    (self, method, arguments) -> {
+                                        told.add(method.getName()
+                                                + (method.getName().equals("onOutcome")
+                                                        ? " " + arguments[1] + " " + arguments[4] + " " + arguments[6]
+                                                        : ""));
+                                        return null;
+                                    }),
+                            null);
+                    upstreams = new Upstreams(reads, 15_000_000, 0, 2_000_000, 20_000, () -> 100, new Totals());
+                    requests = new Requests(loop, clock, decisions, upstreams, 4, new Totals());
+                })
+                .sync();
     }
 
     @AfterEach
@@ -48,8 +55,14 @@
     }
 
     private Exchange exchange(String id) {
-        return new Exchange(new Balancer.Request(id, -1, false, false, 0, 20_000_000, "t", "c"), HttpMethod.GET, "/api",
-                null, new byte[0], clock.now() + 20_000_000, new Exchange.Answer() {
+        return new Exchange(
+                new Balancer.Request(id, -1, false, false, 0, 20_000_000, "t", "c"),
+                HttpMethod.GET,
+                "/api",
+                null,
+                new byte[0],
+                clock.now() + 20_000_000,
+                new Exchange.Answer() {
                     @Override
                     public void served(ByteBuf body) {
                         told.add("served " + id + " " + body.toString(StandardCharsets.US_ASCII));
@@ -81,8 +94,10 @@
     @Test
     void whatWaitsForItsConnectionWhenItsRequestIsOverIsNeverSent() throws Exception {
         try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", m.header("X-Txn")))) {
-            loop.submit(() -> upstreams.update(UpstreamList.of(Json.parse(Rig.list(1, true,
-                    Rig.entry("u0", up.address(), "Ready", 0)).getBytes(StandardCharsets.UTF_8))))).sync();
+            loop.submit(() -> upstreams.update(
+                            UpstreamList.of(Json.parse(Rig.list(1, true, Rig.entry("u0", up.address(), "Ready", 0))
+                                    .getBytes(StandardCharsets.UTF_8)))))
+                    .sync();
             for (String how : new String[] {"left", "refused", "failed"}) {
                 loop.execute(() -> {
                     Exchange x = exchange(how);
@@ -110,8 +125,10 @@
     @Test
     void whatIsAnsweredLongAfterItsTimeTellsItsSteps() throws Exception {
         try (Peer up = new Peer((m, line) -> line.answer("500 No", "", ""))) {
-            loop.submit(() -> upstreams.update(UpstreamList.of(Json.parse(Rig.list(1, true,
-                    Rig.entry("u0", up.address(), "Ready", 0)).getBytes(StandardCharsets.UTF_8))))).sync();
+            loop.submit(() -> upstreams.update(
+                            UpstreamList.of(Json.parse(Rig.list(1, true, Rig.entry("u0", up.address(), "Ready", 0))
+                                    .getBytes(StandardCharsets.UTF_8)))))
+                    .sync();
             Exchange x = exchange("late");
             loop.execute(() -> {
                 requests.take(x);
@@ -119,8 +136,10 @@
             });
             await("onOutcome late ERROR false");
             String story = loop.submit(() -> x.story(x.deadlineUs + 250_000)).get();
-            assertTrue(story.matches("late was over 250 ms after its time, \\d+ after it was taken:"
-                    + " u0 at \\d+ ERROR at \\d+"), story);
+            assertTrue(
+                    story.matches("late was over 250 ms after its time, \\d+ after it was taken:"
+                            + " u0 at \\d+ ERROR at \\d+"),
+                    story);
         }
     }
 }
--- a/src/test/java/rushproxy/sidecar/Rig.java
+++ b/src/test/java/rushproxy/sidecar/Rig.java
@@ -14,7 +14,8 @@
 
 /** A sidecar in this process, with a module that does what the test says and writes down what it is told. */
 final class Rig implements AutoCloseable {
-    static final String SETTINGS = """
+    static final String SETTINGS =
+            """
             {"me":0,"balancers":2,"zone":"za","azs":["za"],"kinds":["k"],"discovery":"on_request",
              "profiles":[{"name":"c","semantics":"safe","objective_us":300000,"give_up_us":60000000},
                          {"name":"k","semantics":"keyed","group":"all","window_us":4000000,"objective_us":300000,
@@ -50,6 +51,7 @@
     String settings = SETTINGS;
     /** Whether the module asks for a watch. */
     boolean asks = true;
+
     int sockets = 1024;
     Discovery.Patience patience = Discovery.Patience.USUAL;
     Backoff backoff = Discovery.backoff();
@@ -81,8 +83,8 @@
     }
 
     static String list(long generation, boolean whole, String... entries) {
-        return "{\"generation\":" + generation + ",\"reset\":" + whole + ",\"instances\":["
-                + String.join(",", entries) + "]}";
+        return "{\"generation\":" + generation + ",\"reset\":" + whole + ",\"instances\":[" + String.join(",", entries)
+                + "]}";
     }
 
     String known() {
@@ -119,7 +121,8 @@
 
     /** As on SIGHUP, with a file that names this discovery and has the settings that the rig has now. */
     void reload(String discoveryAddress) throws Exception {
-        sidecar.reconfigure(read(json(discoveryAddress), environment -> Config.readAgain(environment, sidecar.settings())));
+        sidecar.reconfigure(
+                read(json(discoveryAddress), environment -> Config.readAgain(environment, sidecar.settings())));
     }
 
     /** Set before the start: the sidecar is not ready, and this runs with each request that it takes all the same. */
@@ -127,10 +130,15 @@
 
     Rig start() throws Exception {
         Config config = config(json(discovery.address()));
-        sidecar = new Sidecar(config, (c, now, out) -> {
-            actions = out;
-            return new Recorder();
-        }, reads, patience, backoff);
+        sidecar = new Sidecar(
+                config,
+                (c, now, out) -> {
+                    actions = out;
+                    return new Recorder();
+                },
+                reads,
+                patience,
+                backoff);
         if (rehearsal != null) {
             sidecar.notReadyBefore(rehearsal);
         }
@@ -175,7 +183,10 @@
     private final class Recorder implements Balancer {
         @Override
         public void onList(long now, ListKind kind, List<Upstream> entries) {
-            told.add("list " + kind + " " + String.join(",", entries.stream().map(u -> u.id() + "=" + u.state()).toList()));
+            told.add("list " + kind + " "
+                    + String.join(
+                            ",",
+                            entries.stream().map(u -> u.id() + "=" + u.state()).toList()));
             if (asks && (kind == ListKind.CACHED || kind == ListKind.FAILED)) {
                 actions.subscribe();
             }
@@ -183,7 +194,10 @@
 
         @Override
         public void onSettings(long now, Settings settings) {
-            told.add("settings " + String.join(",", settings.classes().stream().map(RequestClass::name).toList()));
+            told.add("settings "
+                    + String.join(
+                            ",",
+                            settings.classes().stream().map(RequestClass::name).toList()));
         }
 
         @Override
@@ -193,8 +207,15 @@
         }
 
         @Override
-        public void onOutcome(long now, String request, int attempt, String upstream, Outcome outcome, long latencyUs,
-                              boolean done, LoadReport report) {
+        public void onOutcome(
+                long now,
+                String request,
+                int attempt,
+                String upstream,
+                Outcome outcome,
+                long latencyUs,
+                boolean done,
+                LoadReport report) {
             told.add("outcome " + request + " " + attempt + " " + outcome + " " + done + " "
                     + (report == null ? "-" : report.inFlight()));
             onOutcome.take(request, outcome, done, actions);
--- a/src/test/java/rushproxy/sidecar/ShutdownTest.java
+++ b/src/test/java/rushproxy/sidecar/ShutdownTest.java
@@ -27,7 +27,9 @@
             });
             rig.start();
             CountDownLatch stopped = new CountDownLatch(1);
-            try (Peer.Client held = rig.client(); Peer.Client half = rig.client(); Peer.Client idle = rig.client()) {
+            try (Peer.Client held = rig.client();
+                    Peer.Client half = rig.client();
+                    Peer.Client idle = rig.client()) {
                 held.send(Rig.get("held", 30_000));
                 rig.await("request held");
                 idle.send(Rig.get("before", 30_000));
@@ -75,7 +77,8 @@
                 }
                 line.answer("200 OK", "", m.header("X-Txn"));
             });
-            // 48 for the program itself: 15 with a request on a connection of its own, and 2 idle clients, fill the rest.
+            // 48 for the program itself: 15 with a request on a connection of its own, and 2 idle clients, fill the
+            // rest.
             rig.sockets = 48 + 32;
             rig.start();
             CountDownLatch stopped = new CountDownLatch(1);
@@ -85,9 +88,12 @@
                 held[i].send(Rig.get("held" + i, 30_000));
                 up.next();
             }
-            try (Peer.Client idle = rig.client(); Peer.Client other = rig.client()) {
+            try (Peer.Client idle = rig.client();
+                    Peer.Client other = rig.client()) {
                 for (Peer.Client c : new Peer.Client[] {idle, other}) {
-                    assertEquals(404, c.send("GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n").status());
+                    assertEquals(
+                            404,
+                            c.send("GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n").status());
                 }
                 try (Peer.Client late = rig.client()) {
                     late.send(Rig.get("late", 30_000));
@@ -110,12 +116,12 @@
     @Test
     void whatComesDuringTheStopIsAnsweredBeforeTheKill() throws Exception {
         try (Rig rig = new Rig()) {
-            rig.upstream((m, line) -> { });
+            rig.upstream((m, line) -> {});
             rig.start();
             try (Peer.Client client = rig.client()) {
                 client.send(Rig.get("before", 30_000));
                 assertTrue(remainingUs(rig.await("request before")) > 20_000_000);
-                rig.sidecar.stop(() -> { });
+                rig.sidecar.stop(() -> {});
                 try (Peer.Client late = rig.client()) {
                     late.send(Rig.get("late", 30_000));
                     assertTrue(remainingUs(rig.await("request late")) <= 3_700_000);
--- a/src/test/java/rushproxy/sidecar/UpstreamsTest.java
+++ b/src/test/java/rushproxy/sidecar/UpstreamsTest.java
@@ -45,7 +45,10 @@
     }
 
     private Upstreams.Call call(String upstream) {
-        return new Upstreams.Call(upstream, clock.now() + 20_000_000, false,
+        return new Upstreams.Call(
+                upstream,
+                clock.now() + 20_000_000,
+                false,
                 left -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"),
                 (c, outcome, report, body) -> outcomes.add(upstream + " " + outcome));
     }
@@ -55,13 +58,13 @@
     }
 
     /**
-     * A connection that comes up after its upstream drained, went or restarted must carry nothing. The change
-     * falls into the same turn of the loop as the call, so that the connection can't be up before it.
+     * A connection that comes up after its upstream drained, went or restarted must carry nothing. The change falls
+     * into the same turn of the loop as the call, so that the connection can't be up before it.
      */
     @Test
     void nothingIsSentToAnUpstreamThatChangedWhileItsConnectionCameUp() throws Exception {
         try (Peer up = new Peer((m, line) -> line.answer("200 OK", "", "sent"));
-             Peer moved = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
+                Peer moved = new Peer((m, line) -> line.answer("200 OK", "", "sent"))) {
             Upstreams upstreams = upstreams(15_000_000, 100);
             UpstreamList ready = list(true, Rig.entry("u", up.address(), "Ready", 0));
             for (UpstreamList change : new UpstreamList[] {
@@ -69,7 +72,8 @@
                 list(false, Rig.entry("u", up.address(), "Gone", 0)),
                 list(false, Rig.entry("u", up.address(), "Ready", 5_000_000)),
                 list(false, Rig.entry("u", moved.address(), "Ready", 0)),
-                list(true, Rig.entry("other", moved.address(), "Ready", 0))}) {
+                list(true, Rig.entry("other", moved.address(), "Ready", 0))
+            }) {
                 loop.execute(() -> {
                     upstreams.update(ready);
                     upstreams.start(call("u"));
@@ -116,10 +120,10 @@
     @Test
     void connectionsStayWithinTheirCap() throws Exception {
         try (Peer a = new Peer((m, line) -> line.answer("200 OK", "", ""));
-             Peer silent = new Peer((m, line) -> { })) {
+                Peer silent = new Peer((m, line) -> {})) {
             Upstreams upstreams = upstreams(15_000_000, 1);
-            loop.execute(() -> upstreams.update(list(true, Rig.entry("a", a.address(), "Ready", 0),
-                    Rig.entry("silent", silent.address(), "Ready", 0))));
+            loop.execute(() -> upstreams.update(list(
+                    true, Rig.entry("a", a.address(), "Ready", 0), Rig.entry("silent", silent.address(), "Ready", 0))));
             loop.execute(() -> upstreams.start(call("a")));
             assertEquals("a OK", outcome());
             loop.execute(() -> upstreams.start(call("silent")));
@@ -134,10 +138,10 @@
     @Test
     void anIdleConnectionGivesWayAndOneInUseDoesNot() throws Exception {
         try (Peer a = new Peer((m, line) -> line.answer("200 OK", "", ""));
-             Peer silent = new Peer((m, line) -> { })) {
+                Peer silent = new Peer((m, line) -> {})) {
             Upstreams upstreams = upstreams(15_000_000, 2);
-            loop.execute(() -> upstreams.update(list(true, Rig.entry("a", a.address(), "Ready", 0),
-                    Rig.entry("silent", silent.address(), "Ready", 0))));
+            loop.execute(() -> upstreams.update(list(
+                    true, Rig.entry("a", a.address(), "Ready", 0), Rig.entry("silent", silent.address(), "Ready", 0))));
             loop.execute(() -> upstreams.start(call("a")));
             assertEquals("a OK", outcome());
             loop.execute(() -> upstreams.start(call("silent")));
@@ -153,11 +157,11 @@
     @Test
     void connectionsThatFailFreeTheirPlace() throws Exception {
         try (Peer up = new Peer((m, line) -> line.answer("200 OK", "Connection: close\r\n", ""));
-             Peer gone = new Peer((m, line) -> { })) {
+                Peer gone = new Peer((m, line) -> {})) {
             gone.close();
             Upstreams upstreams = upstreams(15_000_000, 1);
-            loop.execute(() -> upstreams.update(list(true, Rig.entry("u", up.address(), "Ready", 0),
-                    Rig.entry("gone", gone.address(), "Ready", 0))));
+            loop.execute(() -> upstreams.update(list(
+                    true, Rig.entry("u", up.address(), "Ready", 0), Rig.entry("gone", gone.address(), "Ready", 0))));
             for (int i = 0; i < 3; i++) {
                 loop.execute(() -> upstreams.start(call("gone")));
                 assertEquals("gone CONNECT_FAILED", outcome());
@@ -173,12 +177,13 @@
     void whatIsGoneIsForgotten() throws Exception {
         Upstreams upstreams = upstreams(15_000_000, 100);
         int kept = loop.submit(() -> {
-            for (int i = 0; i < 50; i++) {
-                upstreams.update(list(false, Rig.entry("u" + i, "127.0.0.1:9", "Ready", 0)));
-                upstreams.update(list(false, Rig.entry("u" + i, "127.0.0.1:9", "Gone", 0)));
-            }
-            return upstreams.known();
-        }).get();
+                    for (int i = 0; i < 50; i++) {
+                        upstreams.update(list(false, Rig.entry("u" + i, "127.0.0.1:9", "Ready", 0)));
+                        upstreams.update(list(false, Rig.entry("u" + i, "127.0.0.1:9", "Gone", 0)));
+                    }
+                    return upstreams.known();
+                })
+                .get();
         assertEquals(0, kept);
     }
 
@@ -247,8 +252,8 @@
             EmbeddedChannel channel = new EmbeddedChannel();
             UpstreamConnection.on(channel, 20_000);
             channel.attr(UpstreamConnection.KEY).get().begin(call("u"), (call, c) -> c.close());
-            channel.writeInbound(Unpooled.copiedBuffer("HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nok",
-                    StandardCharsets.US_ASCII));
+            channel.writeInbound(Unpooled.copiedBuffer(
+                    "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nok", StandardCharsets.US_ASCII));
             assertEquals("u CONNECT_FAILED", outcomes.poll());
             assertFalse(channel.isOpen());
         }
--- a/src/test/java/rushproxy/hollow/ColdBudgetTest.java
+++ b/src/test/java/rushproxy/simulation/ColdBudgetTest.java
@@ -1,4 +1,4 @@
-package rushproxy.hollow;
+package rushproxy.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -14,7 +14,7 @@
     @CsvSource({"20, 12", "30, 20", "100, 60"})
     void allProcessesTogetherStayInsideTheBudgetOfEachColdServer(int sidecars, int servers) {
         for (long seed = 1; seed <= 3; seed++) {
-            HollowFleet fleet = new HollowFleet(new Shape(sidecars, servers, 0.6, 4, 4_600_000, 0.1, seed));
+            SimulatedFleet fleet = new SimulatedFleet(new Shape(sidecars, servers, 0.6, 4, 4_600_000, 0.1, seed));
             fleet.play(4);
             double most = Double.NEGATIVE_INFINITY;
             long sent = 0;
@@ -25,7 +25,7 @@
                 fleet.play(4.0 / servers);
             }
             fleet.play(12);
-            for (HollowServer s : fleet.servers()) {
+            for (SimulatedServer s : fleet.servers()) {
                 most = Math.max(most, s.worstBeyondChance());
                 sent += s.sentCold();
                 could += s.couldCold();
--- a/src/test/java/rushproxy/wire/SimHostTest.java
+++ b/src/test/java/rushproxy/wire/SimHostTest.java
@@ -24,8 +24,9 @@
     private void run(String input) throws Exception {
         ByteArrayOutputStream o = new ByteArrayOutputStream();
         ByteArrayOutputStream e = new ByteArrayOutputStream();
-        code = new SimHost(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), o,
-                new PrintStream(e, true)).run();
+        code = new SimHost(
+                        new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), o, new PrintStream(e, true))
+                .run();
         out = o.toString(StandardCharsets.UTF_8);
         err = e.toString(StandardCharsets.UTF_8);
     }
@@ -48,8 +49,8 @@
     @Test
     void closingOnADrainAndAWordToAllPeersAreWritten() throws Exception {
         for (boolean set : new boolean[] {true, false}) {
-            String start = set ? START.replace("new.key=1",
-                    "rules.close_on_drain_within_us=500000 limits.peers=true") : START;
+            String start =
+                    set ? START.replace("new.key=1", "rules.close_on_drain_within_us=500000 limits.peers=true") : START;
             run(start + "MARK 2000\nINSTANCE sidecar-0\nACCEPT 0f - 0 0 - 800000 - c\nEND\n"
                     + "MARK 9000\nINSTANCE sidecar-0\nREPORT_BACK 0f 0 up_a GOOD 7000 1 0,1\nEND\n"
                     + "MARK 10000\nPAGE 4 1\nROW z up_a k 0 - 1 2\nINSTANCE sidecar-0\nANNOUNCE 2 2 4\n"
