Count the time that a request may have waited in the backlog of a full listener

Cause: where descriptors are used up accepting pauses, and connections wait in the backlog with their requests, whose time was counted from when they were read. Change: AcceptBacklog knows since when connections may wait there, up to the first whole reading behind the resumption; the request that is there with its connection counts from then, but half of its time is believed all the same. Test: a request that waits 1 s behind twenty busy clients is told to the module with that much less, one that comes later with all of its time; fails without the change (told 9.98 s).

--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -71,12 +71,15 @@
     private boolean spare;
 
     private final long openedUs;
+    /** How long it may have waited to be accepted, and with it the request that was there by then. */
+    private final long backlogUs;
     /** What to say after the answers that are owed, before the end; nothing behind it is read. Null: goes on. */
     private HttpResponseStatus last;
     /** The last answer is written: whatever was sent behind its request is no request. */
     private boolean closing;
 
-    private record Arrival(FullHttpRequest message, long sentUs) {
+    /** {@code waitedUs} more may have passed since it was sent. */
+    private record Arrival(FullHttpRequest message, long sentUs, long waitedUs) {
         int bytes() {
             return OVERHEAD_BYTES + message.content().readableBytes();
         }
@@ -87,13 +90,15 @@
             ReadTrackingLoop reads,
             Requests requests,
             Map<String, RequestClass> classes,
-            ClientServer server) {
+            ClientServer server,
+            long backlogUs) {
         this.channel = channel;
         this.reads = reads;
         clock = reads.clock();
         this.requests = requests;
         this.classes = classes;
         this.server = server;
+        this.backlogUs = backlogUs;
         openedUs = clock.now();
         activeUs = openedUs;
     }
@@ -128,9 +133,10 @@
             end(HttpResponseStatus.BAD_REQUEST);
             return;
         }
+        boolean there = !asked && activeUs - openedUs < ReadTrackingLoop.FRESH_US;
         asked = true;
         // Its time counts from its last byte, which came with this read, or earlier where the loop was late to read.
-        Arrival arrival = new Arrival((FullHttpRequest) message, activeUs - reads.lateUs());
+        Arrival arrival = new Arrival((FullHttpRequest) message, activeUs - reads.lateUs(), there ? backlogUs : 0);
         readingSinceUs = 0;
         ahead.add(arrival);
         aheadBytes += arrival.bytes();
@@ -197,7 +203,9 @@
         // Nobody waits longer than the class allows; believed, a longer time would hold its request for days.
         long remainingUs = Math.min(remainingMs * 1000, lane.deadlineUs());
         long marginUs = Math.min(Math.max(MARGIN_US, reads.recentLagUs()), remainingUs / 4);
-        long deadline = Math.min(server.answerByUs(), arrival.sentUs + remainingUs - marginUs);
+        // Not known but at most: half of its time is believed all the same.
+        long sentUs = arrival.sentUs - Math.min(arrival.waitedUs, remainingUs / 2);
+        long deadline = Math.min(server.answerByUs(), sentUs + remainingUs - marginUs);
         Request request = new Request(
                 id,
                 key(h.get(HttpHeaderNames.COOKIE)),
--- a/src/main/java/rushproxy/sidecar/ClientServer.java
+++ b/src/main/java/rushproxy/sidecar/ClientServer.java
@@ -60,6 +60,7 @@
     private long longestUs;
 
     private final Set<ClientConnection> connections = new HashSet<>();
+    private final AcceptBacklog backlog;
     private Channel listener;
     /** Null but while a rehearsal is on. */
     private Runnable rehearsal;
@@ -82,6 +83,7 @@
             Totals totals) {
         this.reads = reads;
         loop = reads.loop();
+        backlog = new AcceptBacklog(reads);
         clock = reads.clock();
         this.requests = requests;
         take(classes);
@@ -110,6 +112,7 @@
         listener = new ServerBootstrap()
                 .group(loop)
                 .channelFactory(NioServerSocketChannel::new)
+                .handler(backlog)
                 .option(ChannelOption.SO_BACKLOG, 256)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -164,17 +167,17 @@
         ChannelConfig accepting = channel.parent().config();
         acceptedUs = clock.now();
         requests.answerOverdue();
-        ClientConnection connection = new ClientConnection(channel, reads, requests, classes, this);
+        ClientConnection connection = new ClientConnection(channel, reads, requests, classes, this, backlog.waitedUs());
         connections.add(connection);
         totals.accepted();
         if (connections.size() >= maxConnections) {
             makeRoom(acceptedUs);
         }
         // Beyond the cap they wait in the backlog: descriptors are needed for upstreams too.
-        accepting.setAutoRead(takesOneMore());
+        backlog.accept(accepting, takesOneMore());
         channel.closeFuture().addListener(f -> {
             connections.remove(connection);
-            accepting.setAutoRead(takesOneMore());
+            backlog.accept(accepting, takesOneMore());
         });
         channel.pipeline()
                 .addLast(
@@ -209,7 +212,7 @@
             makeRoom(now);
         }
         // What upstreams' connections have given back since.
-        listener.config().setAutoRead(takesOneMore());
+        backlog.accept(listener.config(), takesOneMore());
     }
 
     boolean ready() {
--- a/src/test/java/rushproxy/sidecar/DescriptorsTest.java
+++ b/src/test/java/rushproxy/sidecar/DescriptorsTest.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -51,4 +52,45 @@
             }
         }
     }
+
+    /** While accepting pauses a request's time runs on in the backlog: it has less left than it says. */
+    @Test
+    void aRequestThatWaitedInTheBacklogHasThatMuchLessTime() throws Exception {
+        try (Rig rig = new Rig()) {
+            // 32 connections in all, 20 of them the clients'.
+            rig.sockets = 80;
+            rig.onRequest = (now, r, out) -> {
+                if (!r.id().startsWith("held")) {
+                    out.fail(r.id());
+                }
+            };
+            rig.start();
+            List<Peer.Client> busy = new ArrayList<>();
+            try {
+                for (int i = 0; i < 20; i++) {
+                    busy.add(rig.client().send(Rig.get("held-" + i, 50_000)));
+                    rig.await("request held-" + i);
+                }
+                try (Peer.Client waits = rig.client().send(Rig.get("waits", 10_000))) {
+                    Thread.sleep(1_000);
+                    busy.remove(0).close();
+                    assertEquals(502, waits.status());
+                    long leftUs = Long.parseLong(rig.await("request waits").split(" ")[2]);
+                    assertTrue(leftUs > 5_000_000 && leftUs < 9_100_000, "left " + leftUs);
+                }
+                // Long after, with room and nothing in the backlog, a request has all of its time.
+                busy.remove(0).close();
+                try (Peer.Client later = rig.client()) {
+                    Thread.sleep(200);
+                    later.send(Rig.get("later", 10_000));
+                    assertEquals(502, later.status());
+                    assertTrue(Long.parseLong(rig.await("request later").split(" ")[2]) > 9_900_000);
+                }
+            } finally {
+                for (Peer.Client c : busy) {
+                    c.close();
+                }
+            }
+        }
+    }
 }
