--- a/src/main/java/rushproxy/sidecar/ClientConnection.java
+++ b/src/main/java/rushproxy/sidecar/ClientConnection.java
@@ -45,6 +45,7 @@
     private static final int MOST_AHEAD_BYTES = 4 * Headers.MAX_BODY;
     /** What a request takes beside its body. */
     private static final int OVERHEAD_BYTES = 1024;
+
     private static final int KEY_BITS = 53;
     /** Applications send at once what they send: a request not whole after this long is none. */
     private static final long WHOLE_US = 2_000_000;
@@ -61,32 +62,43 @@
     private int aheadBytes;
     /** When the request being read sent its first byte; 0 between requests. */
     private long readingSinceUs;
+
     private long activeUs;
     private Exchange current;
     private boolean busy;
     private boolean asked;
     /** Open between requests, and counted as such. */
     private boolean spare;
+
     private final long openedUs;
+    /** How long it may have waited to be accepted, and with it the request that was there by then. */
+    private final long backlogUs;
     /** What to say after the answers that are owed, before the end; nothing behind it is read. Null: goes on. */
     private HttpResponseStatus last;
     /** The last answer is written: whatever was sent behind its request is no request. */
     private boolean closing;
 
-    private record Arrival(FullHttpRequest message, long sentUs) {
+    /** {@code waitedUs} more may have passed since it was sent. */
+    private record Arrival(FullHttpRequest message, long sentUs, long waitedUs) {
         int bytes() {
             return OVERHEAD_BYTES + message.content().readableBytes();
         }
     }
 
-    ClientConnection(Channel channel, ReadTrackingLoop reads, Requests requests, Map<String, RequestClass> classes,
-                     ClientServer server) {
+    ClientConnection(
+            Channel channel,
+            ReadTrackingLoop reads,
+            Requests requests,
+            Map<String, RequestClass> classes,
+            ClientServer server,
+            long backlogUs) {
         this.channel = channel;
         this.reads = reads;
         clock = reads.clock();
         this.requests = requests;
         this.classes = classes;
         this.server = server;
+        this.backlogUs = backlogUs;
         openedUs = clock.now();
         activeUs = openedUs;
     }
@@ -121,9 +133,10 @@
             end(HttpResponseStatus.BAD_REQUEST);
             return;
         }
+        boolean there = !asked && activeUs - openedUs < ReadTrackingLoop.FRESH_US;
         asked = true;
         // Its time counts from its last byte, which came with this read, or earlier where the loop was late to read.
-        Arrival arrival = new Arrival((FullHttpRequest) message, activeUs - reads.lateUs());
+        Arrival arrival = new Arrival((FullHttpRequest) message, activeUs - reads.lateUs(), there ? backlogUs : 0);
         readingSinceUs = 0;
         ahead.add(arrival);
         aheadBytes += arrival.bytes();
@@ -190,28 +203,42 @@
         // Nobody waits longer than the class allows; believed, a longer time would hold its request for days.
         long remainingUs = Math.min(remainingMs * 1000, lane.deadlineUs());
         long marginUs = Math.min(Math.max(MARGIN_US, reads.recentLagUs()), remainingUs / 4);
-        long deadline = Math.min(server.answerByUs(), arrival.sentUs + remainingUs - marginUs);
-        Request request = new Request(id, key(h.get(HttpHeaderNames.COOKIE)), "1".equals(h.get(Headers.RESENT)),
-                false, Math.max(0, HeaderValues.whole(word(h, Headers.ESTIMATE))), Math.max(1, deadline - clock.now()),
-                h.get(Headers.TENANT), lane.name());
+        // Not known but at most: half of its time is believed all the same.
+        long sentUs = arrival.sentUs - Math.min(arrival.waitedUs, remainingUs / 2);
+        long deadline = Math.min(server.answerByUs(), sentUs + remainingUs - marginUs);
+        Request request = new Request(
+                id,
+                key(h.get(HttpHeaderNames.COOKIE)),
+                "1".equals(h.get(Headers.RESENT)),
+                false,
+                Math.max(0, HeaderValues.whole(word(h, Headers.ESTIMATE))),
+                Math.max(1, deadline - clock.now()),
+                h.get(Headers.TENANT),
+                lane.name());
         boolean keepAlive = HttpUtil.isKeepAlive(m);
-        current = new Exchange(request, m.method(), m.uri(), h.get(Headers.IDEMPOTENCY_KEY),
-                ByteBufUtil.getBytes(m.content()), deadline, new Exchange.Answer() {
-            @Override
-            public void served(ByteBuf body) {
-                write(keepAlive, HttpResponseStatus.OK, body, 0);
-            }
+        current = new Exchange(
+                request,
+                m.method(),
+                m.uri(),
+                h.get(Headers.IDEMPOTENCY_KEY),
+                ByteBufUtil.getBytes(m.content()),
+                deadline,
+                new Exchange.Answer() {
+                    @Override
+                    public void served(ByteBuf body) {
+                        write(keepAlive, HttpResponseStatus.OK, body, 0);
+                    }
 
-            @Override
-            public void refused(long retryAfterUs) {
-                write(keepAlive, HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER, retryAfterUs);
-            }
+                    @Override
+                    public void refused(long retryAfterUs) {
+                        write(keepAlive, HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER, retryAfterUs);
+                    }
 
-            @Override
-            public void failed() {
-                write(keepAlive, HttpResponseStatus.BAD_GATEWAY, Unpooled.EMPTY_BUFFER, 0);
-            }
-        });
+                    @Override
+                    public void failed() {
+                        write(keepAlive, HttpResponseStatus.BAD_GATEWAY, Unpooled.EMPTY_BUFFER, 0);
+                    }
+                });
         server.taken();
         requests.take(current);
     }
@@ -227,9 +254,14 @@
         boolean safe = lane.semantics() == Semantics.SAFE;
         boolean keyed = lane.semantics() == Semantics.KEYED;
         List<String> keys = m.headers().getAll(Headers.IDEMPOTENCY_KEY);
-        boolean keyFits = keys.isEmpty() ? !keyed : !word(m.headers(), Headers.IDEMPOTENCY_KEY).isEmpty();
-        return m.method().equals(safe ? HttpMethod.GET : HttpMethod.POST) && !(safe && m.content().isReadable())
-                && keyFits && HeaderValues.isTarget(m.uri()) && m.protocolVersion().majorVersion() == 1;
+        boolean keyFits = keys.isEmpty()
+                ? !keyed
+                : !word(m.headers(), Headers.IDEMPOTENCY_KEY).isEmpty();
+        return m.method().equals(safe ? HttpMethod.GET : HttpMethod.POST)
+                && !(safe && m.content().isReadable())
+                && keyFits
+                && HeaderValues.isTarget(m.uri())
+                && m.protocolVersion().majorVersion() == 1;
     }
 
     private static long key(String cookies) {
