--- a/src/test/java/loadbalancer/MainTest.java
+++ b/src/test/java/loadbalancer/MainTest.java
@@ -3,12 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
+import java.util.Map;
+import loadbalancer.proxy.testing.SidecarProcessFixture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -20,44 +19,27 @@
     @TempDir
     Path folder;
 
-    private Process started;
+    private SidecarProcessFixture sidecar;
 
     /** A test that fails must not leave its process behind. */
     @AfterEach
     void endProcess() {
-        if (started != null) {
-            started.destroyForcibly();
+        if (sidecar != null) {
+            sidecar.close();
         }
     }
 
-    private Process start(String config, String... options) throws Exception {
-        Path file = folder.resolve("config.json");
-        Files.writeString(file, config);
-        List<String> command = new ArrayList<>(List.of(options));
-        command.add(0, Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "loadbalancer.Main", "serve"));
-        ProcessBuilder builder = new ProcessBuilder(command);
-        builder.environment().keySet().removeIf(variable -> variable.startsWith("BALANCER_"));
-        builder.environment().put("BALANCER_CONFIG", file.toString());
-        builder.environment().put("BALANCER_DISCOVERY", "127.0.0.1:9");
-        builder.redirectError(folder.resolve("log").toFile());
-        started = builder.start();
-        return started;
-    }
-
-    private List<String> log() throws Exception {
-        return Files.readString(folder.resolve("log"), StandardCharsets.UTF_8)
-                .lines()
-                .filter(line -> !line.startsWith("Picked up "))
-                .toList();
+    private void start(String config, String... options) throws Exception {
+        sidecar = new SidecarProcessFixture(folder, config, Map.of("BALANCER_DISCOVERY", "127.0.0.1:9"), options);
     }
 
     @Test
     void exitsWithOneLogLineOnInvalidConfiguration() throws Exception {
-        Process process = start("{\"name\":\"n\"}");
-        assertEquals(2, process.waitFor());
-        assertEquals(1, log().size(), log().toString());
-        assertTrue(log().get(0).contains("'settings' is missing"), log().toString());
+        start("{\"name\":\"n\"}");
+        assertEquals(2, sidecar.process.waitFor());
+        List<String> log = sidecar.log();
+        assertEquals(1, log.size(), log.toString());
+        assertTrue(log.get(0).contains("'settings' is missing"), log.toString());
     }
 
     private static final String CONFIG =
@@ -68,44 +50,28 @@
               "profiles":[{"name":"c","semantics":"safe","objective_us":1,"give_up_us":1}],
               "rules":{"drain_grace_us":1,"cold_share":0.2,"ramp_time_us":1,"fall_multiple":3,"fall_us":1}}}""";
 
-    private void awaitLine(Process process, String text) throws Exception {
-        while (log().stream().noneMatch(line -> line.contains(text))) {
-            assertTrue(process.isAlive(), "the process ended: " + log());
-            Thread.sleep(20);
-        }
-    }
-
-    private static void sendHangUp(Process process) throws Exception {
-        assertEquals(
-                0,
-                new ProcessBuilder("kill", "-HUP", "" + process.pid()).start().waitFor());
-    }
-
     /** An unhandled SIGHUP would end the process. A reload takes the discovery address from the file. */
     @Test
     void reloadsConfigurationOnHangUpAndRejectsInvalidOne() throws Exception {
-        Process process = start(CONFIG);
-        awaitLine(process, "load-balancer: listening ");
-        Files.writeString(folder.resolve("config.json"), CONFIG.replace("127.0.0.1:9", "127.0.0.2:9"));
-        sendHangUp(process);
-        awaitLine(process, "discovery_address_changed address=/127.0.0.2:9");
-        Files.writeString(folder.resolve("config.json"), "{");
-        sendHangUp(process);
-        awaitLine(process, "load-balancer: configuration_rejected ");
-        assertTrue(process.isAlive());
-        process.destroy();
-        assertTrue(process.waitFor(60, TimeUnit.SECONDS));
-        assertEquals(0, process.exitValue(), log().toString());
+        start(CONFIG);
+        sidecar.awaitLine("load-balancer: listening ");
+        sidecar.writeConfiguration(CONFIG.replace("127.0.0.1:9", "127.0.0.2:9"));
+        sidecar.sendHangUp();
+        sidecar.awaitLine("discovery_address_changed address=/127.0.0.2:9");
+        sidecar.writeConfiguration("{");
+        sidecar.sendHangUp();
+        sidecar.awaitLine("load-balancer: configuration_rejected ");
+        assertTrue(sidecar.process.isAlive());
+        assertEquals(0, sidecar.terminate(), sidecar.log().toString());
     }
 
     /** The application waits while its sidecar starts, so the sidecar must not start what serving does not need. */
     @Test
     void doesNotStartFlightRecorder() throws Exception {
         Path classes = folder.resolve("classes");
-        Process process = start(CONFIG, "-Xlog:class+load:file=" + classes);
-        awaitLine(process, "load-balancer: ready ");
-        process.destroy();
-        assertTrue(process.waitFor(60, TimeUnit.SECONDS));
+        start(CONFIG, "-Xlog:class+load:file=" + classes);
+        sidecar.awaitLine("load-balancer: ready ");
+        sidecar.terminate();
         List<String> loaded = Files.readAllLines(classes);
         assertTrue(
                 loaded.stream().anyMatch(line -> line.contains("io.netty.buffer.")),
@@ -124,14 +90,13 @@
     @Test
     void doesNotCompareRecordsOnReload() throws Exception {
         Path classes = folder.resolve("classes");
-        Process process = start(CONFIG, "-Xlog:class+load:file=" + classes);
-        awaitLine(process, "load-balancer: ready ");
-        Files.writeString(folder.resolve("config.json"), CONFIG.replace("127.0.0.1:9", "127.0.0.2:9"));
-        sendHangUp(process);
-        awaitLine(process, "discovery_address_changed address=/127.0.0.2:9");
+        start(CONFIG, "-Xlog:class+load:file=" + classes);
+        sidecar.awaitLine("load-balancer: ready ");
+        sidecar.writeConfiguration(CONFIG.replace("127.0.0.1:9", "127.0.0.2:9"));
+        sidecar.sendHangUp();
+        sidecar.awaitLine("discovery_address_changed address=/127.0.0.2:9");
         // The event loop applies the configuration before it handles the stop.
-        process.destroy();
-        assertTrue(process.waitFor(60, TimeUnit.SECONDS));
+        sidecar.terminate();
         assertEquals(
                 List.of(),
                 Files.readAllLines(classes).stream()
@@ -142,10 +107,8 @@
     /** A requested stop is not a failure, so the exit code must not be that of the signal. */
     @Test
     void exitsWithZeroOnTerminationSignal() throws Exception {
-        Process process = start(CONFIG);
-        awaitLine(process, "load-balancer: listening ");
-        process.destroy();
-        assertTrue(process.waitFor(60, TimeUnit.SECONDS));
-        assertEquals(0, process.exitValue(), log().toString());
+        start(CONFIG);
+        sidecar.awaitLine("load-balancer: listening ");
+        assertEquals(0, sidecar.terminate(), sidecar.log().toString());
     }
 }
--- /dev/null
+++ b/src/test/java/loadbalancer/proxy/testing/SidecarProcessFixture.java
@@ -0,0 +1,102 @@
+package loadbalancer.proxy.testing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import loadbalancer.proxy.protocol.EndpointList;
+
+/**
+ * A sidecar process, started, reloaded and stopped in the same way as by the platform. Closing it kills the process.
+ */
+public final class SidecarProcessFixture implements AutoCloseable {
+    private static final long POLL_INTERVAL_MILLIS = 20;
+    private static final long MAX_SHUTDOWN_SECONDS = 60;
+
+    private final Path configurationFile;
+    private final Path logFile;
+    public final Process process;
+
+    /**
+     * Starts the process.
+     *
+     * @param folder the folder for the configuration file and the log
+     * @param environment variables that override fields of the configuration
+     * @param jvmOptions further options of the Java virtual machine
+     */
+    public SidecarProcessFixture(
+            Path folder, String configuration, Map<String, String> environment, String... jvmOptions)
+            throws IOException {
+        configurationFile = folder.resolve("config.json");
+        logFile = folder.resolve("log");
+        writeConfiguration(configuration);
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(List.of(jvmOptions));
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "loadbalancer.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.environment().keySet().removeIf(variable -> variable.startsWith("BALANCER_"));
+        builder.environment().put("BALANCER_CONFIG", configurationFile.toString());
+        builder.environment().putAll(environment);
+        builder.redirectError(logFile.toFile());
+        process = builder.start();
+    }
+
+    /** Replaces the configuration file. The process reads it at the next {@link #sendHangUp}. */
+    public void writeConfiguration(String configuration) throws IOException {
+        Files.writeString(configurationFile, configuration);
+    }
+
+    /** Returns the lines that the process has logged so far. */
+    public List<String> log() throws IOException {
+        return Files.readString(logFile, StandardCharsets.UTF_8)
+                .lines()
+                .filter(line -> !line.startsWith("Picked up "))
+                .toList();
+    }
+
+    /** Waits until a line of the log contains {@code text}, and returns the line. Fails if the process ends before. */
+    public String awaitLine(String text) throws Exception {
+        while (true) {
+            for (String line : log()) {
+                if (line.contains(text)) {
+                    return line;
+                }
+            }
+            assertTrue(process.isAlive(), () -> "the process ended before it logged: " + text);
+            Thread.sleep(POLL_INTERVAL_MILLIS);
+        }
+    }
+
+    /** Waits until the sidecar listens, and returns the address for its clients. */
+    public InetSocketAddress awaitListenAddress() throws Exception {
+        String line = awaitLine("load-balancer: listening ");
+        String address = line.replaceAll(".* address=/(\\S+).*", "$1");
+        return EndpointList.parseAddress(address);
+    }
+
+    public void sendHangUp() throws Exception {
+        ProcessBuilder kill = new ProcessBuilder("kill", "-HUP", "" + process.pid());
+        assertEquals(0, kill.start().waitFor());
+    }
+
+    /** Sends SIGTERM, waits until the process has ended, and returns its exit code. */
+    public int terminate() throws InterruptedException {
+        process.destroy();
+        assertTrue(process.waitFor(MAX_SHUTDOWN_SECONDS, TimeUnit.SECONDS));
+        return process.exitValue();
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+}
