Log each endpoint list that is applied, and why lists and calls keep failing

The log of the incident could not tell why the list was refused: only the first failed call of a series was logged, and no line told which list was in use. Now endpoint_list_applied names generation, type and states; discovery_call_failed is repeated at most once a second with the number of failures, and names the contents of a refused list and the generation in use.

--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
@@ -18,6 +18,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.proxy.eventloop.ClientBootstraps;
+import loadbalancer.proxy.observability.SidecarLog;
 import loadbalancer.proxy.protocol.EndpointList;
 import loadbalancer.proxy.protocol.MalformedEndpointListException;
 
@@ -149,7 +150,7 @@
         try {
             list = EndpointList.parse(ByteBufUtil.getBytes(response.content()));
         } catch (MalformedEndpointListException e) {
-            fail(callInFlight, CallFailure.MALFORMED_LIST, "error=" + e.getMessage());
+            fail(callInFlight, CallFailure.MALFORMED_LIST, "error=" + SidecarLog.quote(e.getMessage()));
             return;
         }
         finishCall();
--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
@@ -49,6 +49,7 @@
     private final ExponentialBackoff backoff;
     private final EndpointListCursor cursor;
     private final DiscoveryClient client;
+    private final DiscoveryLog log = new DiscoveryLog();
     private InetSocketAddress address;
     /**
      * Whether the load balancer has polled and must be notified of the next response, even if the list has not changed.
@@ -148,6 +149,7 @@
     private void applyList(EndpointList list) {
         recordSuccess();
         cursor.advanceTo(list);
+        log.listApplied(clock.nowMicros(), list);
         listener.onEndpointList(list);
         notifyLoadBalancer(list);
         scheduleNextCall();
@@ -155,7 +157,7 @@
 
     private void recordSuccess() {
         if (backoff.consecutiveFailures() > 0) {
-            SidecarLog.info("discovery_recovered failed_calls=" + backoff.consecutiveFailures());
+            log.recovered(backoff.consecutiveFailures());
             backoff.reset();
         }
     }
@@ -187,10 +189,7 @@
     private void handleFailure(CallFailure failure, String detail) {
         cursor.recordFailedCall(failure);
         long pauseMicros = backoff.recordFailure();
-        if (backoff.consecutiveFailures() == 1) {
-            SidecarLog.info(
-                    "discovery_call_failed reason=" + failure.logName() + (detail.isEmpty() ? "" : " " + detail));
-        }
+        log.callFailed(clock.nowMicros(), failure, detail, backoff.consecutiveFailures());
         if (mode == DiscoveryMode.PUSHED) {
             schedulePoll(pauseMicros);
             return;
@@ -217,8 +216,11 @@
             client.closeConnection();
             String error = list.fullSnapshot()
                     ? "expected a full snapshot with at least one endpoint, found an empty one"
-                    : "the delta to generation " + list.generation() + " can't be applied to the known list";
-            handleFailure(CallFailure.MALFORMED_LIST, "error=" + error);
+                    : "the delta can't be applied to the known list";
+            handleFailure(
+                    CallFailure.MALFORMED_LIST,
+                    "error=" + SidecarLog.quote(error) + " " + DiscoveryLog.describe(list) + " known_generation="
+                            + cursor.generation());
         }
 
         @Override
--- a/src/main/java/loadbalancer/proxy/discovery/EndpointListCursor.java
+++ b/src/main/java/loadbalancer/proxy/discovery/EndpointListCursor.java
@@ -37,6 +37,11 @@
         return callCompleted && !fullSnapshotRequired;
     }
 
+    /** Returns the generation of the known list. */
+    long generation() {
+        return generation;
+    }
+
     /** Returns the request target of the next call. */
     String nextRequestTarget(long longPollWaitMillis) {
         if (fullSnapshotRequired) {
