--- a/src/main/java/loadbalancer/proxy/discovery/CallFailure.java
+++ b/src/main/java/loadbalancer/proxy/discovery/CallFailure.java
@@ -8,10 +8,7 @@
     CONNECTION_CLOSED("connection_closed"),
     /** The status is not 200, or the response is not valid HTTP. */
     UNEXPECTED_STATUS("unexpected_status"),
-    /**
-     * The body is not an endpoint list, is an empty full snapshot, or is a delta that can't be applied to the known
-     * list.
-     */
+    /** The body is not an endpoint list, or is a delta that can't be applied to the known list. */
     MALFORMED_LIST("malformed_list");
 
     private final String logName;
--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
@@ -214,13 +214,10 @@
                 return;
             }
             client.closeConnection();
-            String error = list.fullSnapshot()
-                    ? "expected a full snapshot with at least one endpoint, found an empty one"
-                    : "the delta can't be applied to the known list";
             handleFailure(
                     CallFailure.MALFORMED_LIST,
-                    "error=" + SidecarLog.quote(error) + " " + DiscoveryLog.describe(list) + " known_generation="
-                            + cursor.generation());
+                    "error=\"the delta can't be applied to the known list\" " + DiscoveryLog.describe(list)
+                            + " known_generation=" + cursor.generation());
         }
 
         @Override
--- a/src/main/java/loadbalancer/proxy/discovery/EndpointListCursor.java
+++ b/src/main/java/loadbalancer/proxy/discovery/EndpointListCursor.java
@@ -51,15 +51,12 @@
     }
 
     /**
-     * Returns whether {@code list} may be applied. An empty full snapshot is rejected because it would leave no
-     * endpoint to serve requests. A delta is rejected if its generation is lower than the known one or if a full
-     * snapshot is required.
+     * Returns whether {@code list} may be applied. A full snapshot always may, also one without endpoints: no endpoint
+     * that it leaves out may receive a new request. A delta may not if its generation is lower than the known one or if
+     * a full snapshot is required.
      */
     boolean accepts(EndpointList list) {
-        if (list.fullSnapshot()) {
-            return !list.entries().isEmpty();
-        }
-        return !fullSnapshotRequired && list.generation() >= generation;
+        return list.fullSnapshot() || (!fullSnapshotRequired && list.generation() >= generation);
     }
 
     void advanceTo(EndpointList accepted) {
