--- a/src/main/java/loadbalancer/proxy/protocol/JsonObject.java
+++ b/src/main/java/loadbalancer/proxy/protocol/JsonObject.java
@@ -20,7 +20,8 @@
     /**
      * Parses a JSON object from text in UTF-8.
      *
-     * @throws MalformedJsonException if the text does not begin with a complete JSON object
+     * @throws MalformedJsonException if the text is not exactly one JSON object, or if an object has two fields of the
+     *     same name
      */
     public static JsonObject parse(byte[] text) {
         return new JsonObject(JsonReader.readObject(text));
--- a/src/main/java/loadbalancer/proxy/protocol/JsonReader.java
+++ b/src/main/java/loadbalancer/proxy/protocol/JsonReader.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadFeature;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -14,21 +15,28 @@
  * Stateless.
  */
 final class JsonReader {
-    private static final JsonFactory FACTORY = new JsonFactory();
+    private static final JsonFactory FACTORY = JsonFactory.builder()
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .build();
 
     private JsonReader() {}
 
     /**
-     * Parses the JSON object at the beginning of {@code text}, which is in UTF-8, and returns its fields by name.
+     * Parses {@code text}, which is in UTF-8, and returns the fields of its JSON object by name.
      *
-     * @throws MalformedJsonException if the text does not begin with a complete JSON object
+     * @throws MalformedJsonException if the text is not exactly one JSON object, or if an object has two fields of the
+     *     same name
      */
     static Map<String, Object> readObject(byte[] text) {
         try (JsonParser parser = FACTORY.createParser(text)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
                 throw new MalformedJsonException("expected a JSON object, found another JSON value or no text");
             }
-            return readFields(parser);
+            Map<String, Object> fields = readFields(parser);
+            if (parser.nextToken() != null) {
+                throw new MalformedJsonException("expected one JSON object, found more text after it");
+            }
+            return fields;
         } catch (IOException e) {
             throw new MalformedJsonException("malformed JSON: " + firstLine(e), e);
         }
