--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
@@ -213,7 +213,7 @@
                 applyList(list);
                 return;
             }
-            client.closeConnection();
+            client.closeIdleConnection();
             handleFailure(
                     CallFailure.MALFORMED_LIST,
                     "error=\"the delta can't be applied to the known list\" " + DiscoveryLog.describe(list)
