Accept lists of up to 8 MiB: an indented list of a large fleet was refused

Related path of the incident: a list that was refused for its length. 3,200 entries with an indentation of four spaces take 1.0 MB, of 40 spaces 1.7 MB; the limit was 1 MiB, beyond which the connection was closed and the list before it stayed in use. appliesIndentedListOfLargeFleet failed before with 'list FAILED'.

--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
@@ -47,8 +47,8 @@
     }
 
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
-    /** Large enough for a list of several thousand endpoints. */
-    private static final int MAX_RESPONSE_BYTES = 1 << 20;
+    /** Several times the length of an indented list of several thousand endpoints. */
+    private static final int MAX_RESPONSE_BYTES = 8 << 20;
 
     static final int MAX_OVERDUE_CALLS = 4;
     /** How long a call stays open after its timeout. Missed changes must be known 6 s after discovery had them. */
--- a/src/test/java/loadbalancer/proxy/discovery/DiscoveryWatchTest.java
+++ b/src/test/java/loadbalancer/proxy/discovery/DiscoveryWatchTest.java
@@ -154,6 +154,22 @@
         }
     }
 
+    /** The list that a sidecar can't read is the one that it goes on without, so a long list must not be refused. */
+    @Test
+    void appliesIndentedListOfLargeFleet() throws Exception {
+        String indentedEntry = READY.replace(",", ",\n" + " ".repeat(40));
+        String[] entries = new String[3_200];
+        for (int i = 0; i < entries.length; i++) {
+            entries[i] = indentedEntry.replace("\"u0\"", "\"u" + i + "\"");
+        }
+        try (SidecarFixture fixture = newPolledFixture(handlerOfSteps(fullSnapshot(50, entries)))) {
+            fixture.start();
+            fixture.awaitEvent("list CACHED");
+            String event = fixture.awaitEvent("list");
+            assertTrue(event.startsWith("list FULL u0=READY") && event.endsWith("u3199=READY"), event);
+        }
+    }
+
     @Test
     void reportsFailedCallAndKeepsGeneration() throws Exception {
         try (SidecarFixture fixture = newPolledFixture(handlerOfSteps(
