Report readiness without an endpoint once discovery has answered

Related path of the incident: an empty list is valid, and a sidecar that started while no server was left answered 503 to /health/ready until there was one; over 30 s count as a failed start. It now is ready after the first call to discovery, and rejects requests while there is no server. becomesReadyAndRejectsRequestsWithoutServers (a real process) failed before with 503.

--- a/src/main/java/loadbalancer/proxy/client/SidecarHttpServer.java
+++ b/src/main/java/loadbalancer/proxy/client/SidecarHttpServer.java
@@ -21,7 +21,7 @@
     private final RequestDispatcher dispatcher;
     private final RequestClasses requestClasses;
     private final RequestExchangeFactory exchangeFactory;
-    private final BooleanSupplier canForwardRequests;
+    private final BooleanSupplier discoveryConsulted;
     private final ConnectionLimits limits;
     private final TrafficStatistics statistics;
     private final ClientConnections connections;
@@ -31,21 +31,21 @@
     private Runnable onRequestDuringWarmUp;
 
     /**
-     * {@code canForwardRequests} returns whether there are endpoints to forward requests to; the server reports ready
-     * only if there are. It is called on the event loop.
+     * {@code discoveryConsulted} returns whether a first call to discovery has completed; the server reports ready only
+     * after that. It is called on the event loop.
      */
     public SidecarHttpServer(
             ReadTrackingEventLoop eventLoop,
             RequestDispatcher dispatcher,
             List<RequestClass> requestClasses,
-            BooleanSupplier canForwardRequests,
+            BooleanSupplier discoveryConsulted,
             ConnectionLimits limits,
             TrafficStatistics statistics) {
         this.eventLoop = eventLoop;
         clock = eventLoop.clock();
         this.dispatcher = dispatcher;
         this.requestClasses = new RequestClasses(requestClasses);
-        this.canForwardRequests = canForwardRequests;
+        this.discoveryConsulted = discoveryConsulted;
         this.limits = limits;
         this.statistics = statistics;
         connections = new ClientConnections(limits);
@@ -98,7 +98,7 @@
     }
 
     boolean isReady() {
-        return !isShuttingDown() && !isWarmingUp() && canForwardRequests.getAsBoolean();
+        return !isShuttingDown() && !isWarmingUp() && discoveryConsulted.getAsBoolean();
     }
 
     private boolean isWarmingUp() {
--- a/src/main/java/loadbalancer/proxy/lifecycle/Sidecar.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/Sidecar.java
@@ -125,7 +125,7 @@
                 eventLoop,
                 dispatcher,
                 settings().requestClasses(),
-                () -> discovery.hasCompletedCall() && upstreamPool.hasReadyEndpoint(),
+                () -> discovery.hasCompletedCall(),
                 new ConnectionLimits(
                         descriptorBudget.maxClientConnections(),
                         descriptorBudget.maxIdleClientConnections(),
@@ -233,8 +233,8 @@
     }
 
     /**
-     * Lets the sidecar report readiness as soon as a call to discovery has completed and an endpoint is ready. Blocks
-     * until the event loop has applied the change.
+     * Lets the sidecar report readiness as soon as a call to discovery has completed. Blocks until the event loop has
+     * applied the change.
      */
     void warmUpCompleted() throws InterruptedException {
         nettyEventLoop.submit(httpServer::warmUpCompleted).sync();
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnectionPool.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnectionPool.java
@@ -89,11 +89,6 @@
         return endpoints.size();
     }
 
-    /** Returns whether at least one endpoint is ready. */
-    public boolean hasReadyEndpoint() {
-        return endpoints.hasReady();
-    }
-
     /** Returns the number of connections that are open or being opened. */
     public int openConnectionCount() {
         return connector.openConnectionCount();
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamEndpoints.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamEndpoints.java
@@ -64,13 +64,4 @@
     int size() {
         return endpoints.size();
     }
-
-    boolean hasReady() {
-        for (UpstreamEndpoint endpoint : endpoints.values()) {
-            if (endpoint.isReady()) {
-                return true;
-            }
-        }
-        return false;
-    }
 }
--- a/src/test/java/loadbalancer/WorkSentToRemovedServersTest.java
+++ b/src/test/java/loadbalancer/WorkSentToRemovedServersTest.java
@@ -91,6 +91,31 @@
         }
     }
 
+    /** A sidecar that is restarted while no server is left must not count as a failed start. */
+    @Test
+    void becomesReadyAndRejectsRequestsWithoutServers() throws Exception {
+        StubDiscovery agent = new StubDiscovery(41);
+        try (StubServer server = new StubServer(StubServer.echoingRequestId());
+                StubServer discovery = new StubServer(agent);
+                SidecarProcessFixture sidecar = new SidecarProcessFixture(
+                        folder, configuration(discovery.address(), "pushed", ready(server)), Map.of())) {
+            InetSocketAddress sidecarAddress = sidecar.awaitListenAddress();
+            sidecar.awaitLine("load-balancer: ready ");
+            agent.publish(42);
+            agent.awaitSent();
+            assertEquals(200, readinessStatus(sidecarAddress));
+            assertNoRequestReaches(server, sidecarAddress);
+            agent.publish(43, ready(server));
+            awaitServed(sidecarAddress);
+        }
+    }
+
+    private static int readinessStatus(InetSocketAddress sidecarAddress) throws Exception {
+        try (StubServer.Client client = new StubServer.Client(sidecarAddress)) {
+            return client.send("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").readStatus();
+        }
+    }
+
     @Test
     void sendsNothingAfterReloadToDiscoveryWithoutServers() throws Exception {
         try (StubServer server = new StubServer(StubServer.echoingRequestId())) {
