Let a reload change the discovery mode

Related path of the incident: a valid configuration that changed 'discovery' between pushed and on_request was refused as a whole, with its new discovery address.

--- a/src/main/java/loadbalancer/decision/LoadBalancer.java
+++ b/src/main/java/loadbalancer/decision/LoadBalancer.java
@@ -13,8 +13,8 @@
  */
 public interface LoadBalancer {
     /**
-     * Replaces the settings, which the host has validated. Requests in progress keep their request class.
-     * {@link LoadBalancerSettings#polledDiscovery} must be the same as before.
+     * Replaces the settings, which the host has validated. Requests in progress keep their request class. If lists are
+     * polled from now on, polling begins with the next failed call.
      */
     void onSettings(long nowMicros, LoadBalancerSettings settings);
 
--- a/src/main/java/loadbalancer/proxy/configuration/SettingsValidator.java
+++ b/src/main/java/loadbalancer/proxy/configuration/SettingsValidator.java
@@ -25,11 +25,6 @@
      *     message names the setting
      */
     static void validate(LoadBalancerSettings reloaded, LoadBalancerSettings current) throws ConfigurationException {
-        if (reloaded.polledDiscovery() != current.polledDiscovery()) {
-            throw new ConfigurationException(
-                    "configuration, settings: 'discovery' can't be changed by a reload; restart"
-                            + " the sidecar to change it");
-        }
         List<String> violations = violations(reloaded);
         violations.removeAll(violations(current));
         if (!violations.isEmpty()) {
--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
@@ -44,13 +44,13 @@
     private final MonotonicClock clock;
     private final LoadBalancerExecutor loadBalancerExecutor;
     private final EndpointListListener listener;
-    private final DiscoveryMode mode;
     private final WatchTimeouts timeouts;
     private final ExponentialBackoff backoff;
     private final EndpointListCursor cursor;
     private final DiscoveryClient client;
     private final DiscoveryLog log = new DiscoveryLog();
     private InetSocketAddress address;
+    private DiscoveryMode mode;
     /**
      * Whether the load balancer has polled and must be notified of the next response, even if the list has not changed.
      */
@@ -126,6 +126,18 @@
         startCallIfIdle();
     }
 
+    /**
+     * Changes the mode. If the load balancer no longer polls, the watch goes on at once with a call that a poll would
+     * have started.
+     */
+    public void changeMode(DiscoveryMode newMode) {
+        if (newMode != mode) {
+            mode = newMode;
+            SidecarLog.info("discovery_mode_changed mode=" + newMode);
+            start();
+        }
+    }
+
     /** Stops the watch permanently. */
     public void stop() {
         stopped = true;
--- a/src/main/java/loadbalancer/proxy/lifecycle/Sidecar.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/Sidecar.java
@@ -115,11 +115,15 @@
                 new DiscoveryWatch.Options(
                         configuration.discoveryAddress(),
                         configuration.initialEndpoints().generation(),
-                        settings().polledDiscovery() ? DiscoveryMode.POLLED : DiscoveryMode.PUSHED,
+                        discoveryMode(settings()),
                         watchTimeouts),
                 backoff);
     }
 
+    private static DiscoveryMode discoveryMode(LoadBalancerSettings settings) {
+        return settings.polledDiscovery() ? DiscoveryMode.POLLED : DiscoveryMode.PUSHED;
+    }
+
     private SidecarHttpServer newHttpServer() {
         return new SidecarHttpServer(
                 eventLoop,
@@ -270,6 +274,7 @@
         // is accepted.
         loadBalancerExecutor.submit(
                 "settings", loadBalancer -> loadBalancer.onSettings(clock.nowMicros(), settings), () -> {});
+        discovery.changeMode(discoveryMode(settings));
         dispatcher.updateMaxAttempts(settings.limits().maxAttempts());
         upstreamPool.updateTimeouts(upstreamTimeouts(settings));
         httpServer.updateRequestClasses(settings.requestClasses());
--- a/src/test/java/loadbalancer/decision/DiscoveryPollerTest.java
+++ b/src/test/java/loadbalancer/decision/DiscoveryPollerTest.java
@@ -25,6 +25,19 @@
         assertEquals(2, fixture.discoveryPollCount());
     }
 
+    @Test
+    void pollsAfterFailureOnceSettingsAskForPolling() {
+        PolicyFixture fixture = new PolicyFixture();
+        fixture.start().receiveFullSnapshot(A);
+        assertEquals(0, fixture.discoveryPollCount());
+        PolicyFixture polledFixture = new PolicyFixture();
+        polledFixture.polledDiscovery = true;
+        fixture.applySettings(polledFixture.start().settings());
+        fixture.receiveEndpointList(EndpointListType.FAILED);
+        fixture.advanceMicros(2_000_000).fireTimer(DISCOVERY_TIMER);
+        assertEquals(1, fixture.discoveryPollCount());
+    }
+
     /**
      * A backoff that grows without limit would delay the first call after discovery recovers; one that is too short
      * would flood discovery with calls.
