Accept a removed endpoint without an address

Related path of the incident: one entry that can't be read refuses the whole list, and the list before it stays in use. An entry that only says that an endpoint is gone needs its id alone. readsRemovedEndpointWithoutAddress failed before with 'field hostPort is missing'. A ready entry without an address, and any entry without an id, still refuse the list.

--- a/src/main/java/loadbalancer/proxy/protocol/EndpointList.java
+++ b/src/main/java/loadbalancer/proxy/protocol/EndpointList.java
@@ -20,7 +20,7 @@
     private static final double DEFAULT_WEIGHT = 1;
     private static final long MICROS_PER_MILLI = 1_000;
 
-    /** An endpoint and the address on which it listens. */
+    /** An endpoint and the address on which it listens; the address is null if the endpoint is removed. */
     public record Entry(Endpoint endpoint, InetSocketAddress address) {}
 
     /**
@@ -52,11 +52,17 @@
     private static EndpointList readList(JsonObject json) {
         List<Entry> entries = new ArrayList<>();
         for (JsonObject entry : json.objects("instances")) {
-            entries.add(new Entry(readEndpoint(entry), parseAddress(entry.string("hostPort"))));
+            entries.add(readEntry(entry));
         }
         return new EndpointList(json.integer("generation"), json.flag("reset"), entries);
     }
 
+    private static Entry readEntry(JsonObject entry) {
+        Endpoint endpoint = readEndpoint(entry);
+        boolean removed = endpoint.state() == EndpointState.REMOVED;
+        return new Entry(endpoint, removed ? null : parseAddress(entry.string("hostPort")));
+    }
+
     private static Endpoint readEndpoint(JsonObject entry) {
         // Start times are Unix times, in milliseconds on the wire and in microseconds in the load balancer.
         return new Endpoint(
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamEndpoints.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamEndpoints.java
@@ -23,6 +23,10 @@
 
     private void update(EndpointList.Entry entry) {
         String id = entry.endpoint().id();
+        if (entry.endpoint().state() == EndpointState.REMOVED) {
+            remove(id);
+            return;
+        }
         UpstreamEndpoint endpoint = endpoints.get(id);
         if (endpoint == null || !endpoint.isSameProcess(entry)) {
             if (endpoint != null) {
@@ -32,9 +36,13 @@
             endpoints.put(id, endpoint);
         }
         endpoint.updateState(entry.endpoint().state());
-        if (entry.endpoint().state() == EndpointState.REMOVED) {
-            // A replacement has a new id, so removed endpoints would accumulate if they were kept.
-            endpoints.remove(id);
+    }
+
+    /** Removes an endpoint. A replacement has a new id, so removed endpoints would accumulate if they were kept. */
+    private void remove(String id) {
+        UpstreamEndpoint endpoint = endpoints.remove(id);
+        if (endpoint != null) {
+            endpoint.updateState(EndpointState.REMOVED);
         }
     }
 
--- a/src/test/java/loadbalancer/proxy/protocol/EndpointListTest.java
+++ b/src/test/java/loadbalancer/proxy/protocol/EndpointListTest.java
@@ -46,6 +46,15 @@
                 parse(listOf(ENTRY.replace("Ready", "Gone"))).endpoints().get(0).state());
     }
 
+    @Test
+    void readsRemovedEndpointWithoutAddress() {
+        EndpointList list = parse(listOf("{\"instanceId\":\"e1\",\"lifecycle\":\"Gone\"}"));
+        assertEquals("e1", list.endpoints().get(0).id());
+        assertEquals(EndpointState.REMOVED, list.endpoints().get(0).state());
+        assertMalformed("field 'hostPort' is missing", listOf("{\"instanceId\":\"e1\",\"lifecycle\":\"Ready\"}"));
+        assertMalformed("field 'instanceId' is missing", listOf("{\"lifecycle\":\"Gone\"}"));
+    }
+
     @Test
     void reportsErrorInMalformedList() {
         assertMalformed("expected a JSON object, found another JSON value or no text", "[]");
