--- a/src/main/java/loadbalancer/proxy/gossip/GossipTransport.java
+++ b/src/main/java/loadbalancer/proxy/gossip/GossipTransport.java
@@ -80,23 +80,25 @@
     }
 
     /**
-     * Sends a message to a peer, or to the broadcast address if {@code peerIndex} is
-     * {@link LoadBalancerActions#ALL_SIDECARS}. Does nothing if there is no such peer or no broadcast address, if the
-     * message is longer than {@link #MAX_DATAGRAM_BYTES}, or if the socket is not bound.
+     * Sends a message to a peer, or to all peers if {@code peerIndex} is {@link LoadBalancerActions#ALL_SIDECARS}: to
+     * the broadcast address or, if there is none, to each peer. Does nothing if there is no such peer, if the message
+     * is longer than {@link #MAX_DATAGRAM_BYTES}, or if the socket is not bound.
      */
     public void send(int peerIndex, byte[] message) {
-        InetSocketAddress recipient = recipient(peerIndex);
-        if (channel != null && recipient != null && message.length <= MAX_DATAGRAM_BYTES) {
-            channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(message), recipient));
+        if (channel == null || message.length > MAX_DATAGRAM_BYTES) {
+            return;
         }
+        for (InetSocketAddress recipient : recipients(peerIndex)) {
+            channel.write(new DatagramPacket(Unpooled.wrappedBuffer(message), recipient));
+        }
+        channel.flush();
     }
 
-    /** Returns the address to send to, or null if there is no such peer or no broadcast address. */
-    private InetSocketAddress recipient(int peerIndex) {
+    private List<InetSocketAddress> recipients(int peerIndex) {
         if (peerIndex == LoadBalancerActions.ALL_SIDECARS) {
-            return broadcastAddress;
+            return broadcastAddress == null ? peers : List.of(broadcastAddress);
         }
-        return peerIndex >= 0 && peerIndex < peers.size() ? peers.get(peerIndex) : null;
+        return peerIndex >= 0 && peerIndex < peers.size() ? List.of(peers.get(peerIndex)) : List.of();
     }
 
     /** Passes the gossip of peers to the load balancer. */
--- a/src/test/java/loadbalancer/proxy/gossip/GossipTransportTest.java
+++ b/src/test/java/loadbalancer/proxy/gossip/GossipTransportTest.java
@@ -29,6 +29,27 @@
         return packet;
     }
 
+    @Test
+    void sendsToEachPeerWithoutBroadcastAddress() throws Exception {
+        try (DatagramSocket first = socket();
+                DatagramSocket second = socket();
+                SidecarFixture fixture = new SidecarFixture()) {
+            fixture.gossipFields = "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"127.0.0.1:" + first.getLocalPort()
+                    + "\",\"127.0.0.1:" + second.getLocalPort() + "\"],";
+            fixture.onRequest = (nowMicros, request, actions) -> {
+                actions.sendGossip(-1, new byte[7]);
+                actions.fail(request.id());
+            };
+            fixture.start();
+            try (StubServer.Client client = fixture.client()) {
+                client.send(SidecarFixture.idempotentRequest("a1", 20_000));
+                assertEquals(502, client.readStatus());
+            }
+            assertEquals(7, receive(first).getLength());
+            assertEquals(7, receive(second).getLength());
+        }
+    }
+
     @Test
     void exchangesOnlyDatagramsWithinSizeLimitWithPeers() throws Exception {
         try (DatagramSocket peer = socket();
