--- a/src/main/java/loadbalancer/proxy/lifecycle/Sidecar.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/Sidecar.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
+import java.util.Objects;
 import loadbalancer.decision.EndpointListType;
 import loadbalancer.decision.LoadBalancer;
 import loadbalancer.decision.LoadBalancerActions;
@@ -245,9 +246,9 @@
     }
 
     /**
-     * Applies a validated configuration on the event loop: discovery address, settings and gossip peers. A new
-     * broadcast address for gossip is applied only if the settings or the gossip peers change too. All other changes,
-     * such as those of the listen addresses, the descriptor limit and the seed, take effect at the next start.
+     * Applies a validated configuration on the event loop: discovery address, settings, gossip peers and the broadcast
+     * address for gossip. All other changes, such as those of the listen addresses, the descriptor limit and the seed,
+     * take effect at the next start.
      */
     public void applyConfiguration(SidecarConfiguration reloaded) {
         nettyEventLoop.execute(() -> {
@@ -264,7 +265,8 @@
         // Compares the flattened settings, because the first comparison of settings records would load a hundred
         // classes.
         return !reloaded.flattenedSettings().equals(configuration.flattenedSettings())
-                || !reloaded.gossipPeers().equals(configuration.gossipPeers());
+                || !reloaded.gossipPeers().equals(configuration.gossipPeers())
+                || !Objects.equals(reloaded.gossipBroadcastAddress(), configuration.gossipBroadcastAddress());
     }
 
     private void applySettings(SidecarConfiguration reloaded) {
--- a/src/test/java/loadbalancer/proxy/gossip/GossipTransportTest.java
+++ b/src/test/java/loadbalancer/proxy/gossip/GossipTransportTest.java
@@ -50,6 +50,27 @@
         }
     }
 
+    @Test
+    void sendsToReloadedBroadcastAddress() throws Exception {
+        try (DatagramSocket receiver = socket();
+                SidecarFixture fixture = new SidecarFixture()) {
+            String fields = "\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"127.0.0.1:9\"],\"peers_all\":\"127.0.0.1:";
+            fixture.gossipFields = fields + "9\",";
+            fixture.onRequest = (nowMicros, request, actions) -> {
+                actions.sendGossip(-1, new byte[7]);
+                actions.fail(request.id());
+            };
+            fixture.start();
+            fixture.gossipFields = fields + receiver.getLocalPort() + "\",";
+            fixture.reload(fixture.discovery.address());
+            try (StubServer.Client client = fixture.client()) {
+                client.send(SidecarFixture.idempotentRequest("a1", 20_000));
+                assertEquals(502, client.readStatus());
+            }
+            assertEquals(7, receive(receiver).getLength());
+        }
+    }
+
     @Test
     void exchangesOnlyDatagramsWithinSizeLimitWithPeers() throws Exception {
         try (DatagramSocket peer = socket();
