--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
@@ -111,8 +111,8 @@
 
     /**
      * Watches discovery at {@code newAddress} from now on, and fetches a full snapshot from there first. A call in
-     * flight to the previous address is cancelled. The cancelled call does not count as a failure, so no backoff
-     * follows. Has no effect if the address is unchanged.
+     * flight to the previous address is cancelled. Neither the cancelled call nor failures at the previous address
+     * count for the backoff. Has no effect if the address is unchanged.
      */
     public void changeAddress(InetSocketAddress newAddress) {
         if (newAddress.equals(address)) {
@@ -121,6 +121,7 @@
         }
         SidecarLog.info("discovery_address_changed address=" + newAddress);
         address = newAddress;
+        backoff.reset();
         cursor.requireFullSnapshot();
         client.cancel();
         startCallIfIdle();
--- a/src/test/java/loadbalancer/proxy/discovery/DiscoveryWatchTest.java
+++ b/src/test/java/loadbalancer/proxy/discovery/DiscoveryWatchTest.java
@@ -230,6 +230,20 @@
         }
     }
 
+    /** The failures of the previous service must not delay the calls to the new one, which may fail once as well. */
+    @Test
+    void repeatsFailedCallToNewServiceAtOnce() throws Exception {
+        StubServer.RequestHandler reset = (request, connection) -> connection.reset();
+        try (StubServer newService = new StubServer(handlerOfSteps(reset, fullSnapshot(3, DRAINING)));
+                SidecarFixture fixture = startPushedFixture(HOUR_LONG_TIMEOUTS, handlerOfSteps(reset, reset))) {
+            fixture.awaitEvent("list CACHED");
+            fixture.discovery.nextRequest();
+            fixture.discovery.nextRequest();
+            fixture.reload(newService.address());
+            assertEquals("list FULL u0=DRAINING", fixture.awaitEvent("list"));
+        }
+    }
+
     /**
      * The sidecar is expected to know a change even if no call was open when it happened, so the call is repeated
      * without a pause.
