Stop the warm-up's discovery before its loop, so that its end is not logged as a failed call

Each log in the incident report begins with discovery_call_failed reason=connection_closed. A trace of a real process shows the line 6 ms after ready, while the sidecar's own watch goes on: it is the long poll of the warm-up, whose discovery ends. doesNotLogEndOfWarmUpAsFailedCall failed before with that line.

--- a/src/main/java/loadbalancer/proxy/lifecycle/StartupWarmUp.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/StartupWarmUp.java
@@ -86,11 +86,20 @@
                 eventLoop,
                 WatchTimeouts.DEFAULT,
                 DiscoveryWatch.defaultBackoff());
-        sidecar.start();
+        try {
+            sidecar.start();
+            exchangeRequests(nettyEventLoop, sidecar.listenAddress());
+        } finally {
+            sidecar.shutDownNow();
+        }
+    }
+
+    private void exchangeRequests(EventLoop nettyEventLoop, InetSocketAddress sidecarAddress)
+            throws InterruptedException {
         Bootstrap bootstrap = ClientBootstraps.http(
                 nettyEventLoop, CONNECT_TIMEOUT_MILLIS, ProtocolConstants.MAX_REQUEST_BODY_BYTES, client::newHandler);
         for (int i = 0; i < CLIENT_CONNECTIONS; i++) {
-            bootstrap.connect(sidecar.listenAddress());
+            bootstrap.connect(sidecarAddress);
         }
         client.await(MAX_DURATION_MILLIS);
     }
--- a/src/test/java/loadbalancer/MainTest.java
+++ b/src/test/java/loadbalancer/MainTest.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import loadbalancer.proxy.testing.SidecarProcessFixture;
+import loadbalancer.proxy.testing.StubDiscovery;
+import loadbalancer.proxy.testing.StubServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -104,6 +106,24 @@
                         .toList());
     }
 
+    /** The warm-up has a discovery of its own. Its end would look like a failure of the real one. */
+    @Test
+    void doesNotLogEndOfWarmUpAsFailedCall() throws Exception {
+        StubDiscovery agent = new StubDiscovery(1);
+        try (StubServer discovery = new StubServer(agent)) {
+            String config = CONFIG.replace("on_request", "pushed").replace("127.0.0.1:9", discovery.address());
+            // Without compiled code the warm-up lasts long enough for a second call to its discovery.
+            sidecar = new SidecarProcessFixture(folder, config, Map.of(), "-Xint");
+            sidecar.awaitLine("load-balancer: ready ");
+            agent.publish(2);
+            sidecar.awaitLine("endpoint_list_applied generation=2 ");
+            List<String> failures = sidecar.log().stream()
+                    .filter(line -> line.contains("discovery_call_failed reason=connection_closed"))
+                    .toList();
+            assertEquals(List.of(), failures);
+        }
+    }
+
     /** A requested stop is not a failure, so the exit code must not be that of the signal. */
     @Test
     void exitsWithZeroOnTerminationSignal() throws Exception {
