Fix the age of a server in monotonic time when its start is first seen

Cause: MonotonicClock took Unix time once, when it was made, and start times were compared with it for ever. EndpointStartTimes now converts each start once, with the wall clock as it is then; of the ages that the clock before and after a step allow, the youngest counts, and an impossible one means slow start from the notice. A process that is seen before and after a step, also one that left the list in between, keeps its age.

--- a/src/main/java/loadbalancer/decision/Endpoint.java
+++ b/src/main/java/loadbalancer/decision/Endpoint.java
@@ -16,4 +16,9 @@
         String id, String zone, String machineType, int cell, long startedMicros, double weight, EndpointState state) {
     /** The cell of an endpoint whose cell is unknown. */
     public static final int NO_CELL = -1;
+
+    /** Returns a copy with another start time. */
+    public Endpoint withStartedMicros(long newStartedMicros) {
+        return new Endpoint(id, zone, machineType, cell, newStartedMicros, weight, state);
+    }
 }
--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
@@ -43,6 +43,7 @@
     private final EventLoop loop;
     private final MonotonicClock clock;
     private final LoadBalancerExecutor loadBalancerExecutor;
+    private final EndpointStartTimes startTimes;
     private final EndpointListListener listener;
     private final WatchTimeouts timeouts;
     private final ExponentialBackoff backoff;
@@ -63,6 +64,7 @@
      * Creates a watch that makes no call before {@link #start} or {@link #poll} is called.
      *
      * @param loop the event loop on which all methods of this object are called
+     * @param startTimes converts the start times in each list before the list is passed on
      * @param listener receives each list before the load balancer does
      * @param backoff determines the pauses after failed calls, see {@link #defaultBackoff}
      */
@@ -70,12 +72,14 @@
             EventLoop loop,
             MonotonicClock clock,
             LoadBalancerExecutor loadBalancerExecutor,
+            EndpointStartTimes startTimes,
             EndpointListListener listener,
             Options options,
             ExponentialBackoff backoff) {
         this.loop = loop;
         this.clock = clock;
         this.loadBalancerExecutor = loadBalancerExecutor;
+        this.startTimes = startTimes;
         this.listener = listener;
         this.backoff = backoff;
         address = options.address();
@@ -159,9 +163,10 @@
                 : timeouts.immediateTimeoutMillis(backoff.consecutiveFailures());
     }
 
-    private void applyList(EndpointList list) {
+    private void applyList(EndpointList received) {
         recordSuccess();
-        cursor.advanceTo(list);
+        cursor.advanceTo(received);
+        EndpointList list = startTimes.toMonotonic(received);
         log.listApplied(clock.nowMicros(), list);
         listener.onEndpointList(list);
         notifyLoadBalancer(list);
--- a/src/main/java/loadbalancer/proxy/eventloop/MonotonicClock.java
+++ b/src/main/java/loadbalancer/proxy/eventloop/MonotonicClock.java
@@ -1,8 +1,9 @@
 package loadbalancer.proxy.eventloop;
 
 /**
- * The clock that all components of a sidecar share. It counts microseconds and never goes back. It is set to Unix time
- * once, when it is created, so that its times can be compared with the start times of endpoints. Thread-safe.
+ * The clock that all components of a sidecar share. It counts microseconds of real time and never goes back or jumps.
+ * It is set to Unix time once, when it is created, so that its times are far from 0, but it must not be compared with
+ * Unix time afterwards: the wall clock may be stepped. Thread-safe.
  */
 public final class MonotonicClock {
     private final long originUnixMicros = System.currentTimeMillis() * 1000;
--- a/src/main/java/loadbalancer/proxy/lifecycle/Sidecar.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/Sidecar.java
@@ -12,6 +12,7 @@
 import loadbalancer.proxy.configuration.SidecarConfiguration;
 import loadbalancer.proxy.discovery.DiscoveryMode;
 import loadbalancer.proxy.discovery.DiscoveryWatch;
+import loadbalancer.proxy.discovery.EndpointStartTimes;
 import loadbalancer.proxy.discovery.ExponentialBackoff;
 import loadbalancer.proxy.discovery.WatchTimeouts;
 import loadbalancer.proxy.eventloop.EventLoopMonitor;
@@ -21,6 +22,7 @@
 import loadbalancer.proxy.gossip.GossipTransport;
 import loadbalancer.proxy.observability.SidecarLog;
 import loadbalancer.proxy.observability.TrafficStatistics;
+import loadbalancer.proxy.protocol.EndpointList;
 import loadbalancer.proxy.upstream.UpstreamConnectionPool;
 import loadbalancer.proxy.upstream.UpstreamTimeouts;
 import loadbalancer.settings.LoadBalancerSettings;
@@ -48,6 +50,8 @@
     private final LoadBalancerExecutor loadBalancerExecutor;
     private final UpstreamConnectionPool upstreamPool;
     private final RequestDispatcher dispatcher;
+    private final EndpointStartTimes startTimes;
+    private final EndpointList initialEndpoints;
     private final DiscoveryWatch discovery;
     private final GossipTransport gossip;
     private final SidecarHttpServer httpServer;
@@ -91,6 +95,8 @@
                 upstreamPool,
                 settings().limits().maxAttempts(),
                 statistics);
+        startTimes = new EndpointStartTimes(clock::nowMicros, Sidecar::unixMicros);
+        initialEndpoints = startTimes.toMonotonic(configuration.initialEndpoints());
         discovery = newDiscoveryWatch(watchTimeouts, discoveryBackoff);
         gossip = new GossipTransport(
                 clock, loadBalancerExecutor, configuration.gossipPeers(), configuration.gossipBroadcastAddress());
@@ -98,6 +104,10 @@
         maintenance = new MaintenanceTask(eventLoop, monitor, statistics, httpServer, dispatcher, upstreamPool);
     }
 
+    private static long unixMicros() {
+        return System.currentTimeMillis() * 1_000;
+    }
+
     private UpstreamConnectionPool newUpstreamPool() {
         return new UpstreamConnectionPool(
                 eventLoop,
@@ -112,10 +122,11 @@
                 nettyEventLoop,
                 clock,
                 loadBalancerExecutor,
+                startTimes,
                 upstreamPool::updateEndpoints,
                 new DiscoveryWatch.Options(
                         configuration.discoveryAddress(),
-                        configuration.initialEndpoints().generation(),
+                        initialEndpoints.generation(),
                         discoveryMode(settings()),
                         watchTimeouts),
                 backoff);
@@ -181,7 +192,7 @@
      * @throws java.net.BindException (not declared) if a listen address can't be bound
      */
     public void start() throws InterruptedException {
-        upstreamPool.updateEndpoints(configuration.initialEndpoints());
+        upstreamPool.updateEndpoints(initialEndpoints);
         nettyEventLoop.submit(this::startLoadBalancer).sync();
         nettyEventLoop.execute(discovery::start);
         if (configuration.gossipListenAddress() != null) {
@@ -199,10 +210,7 @@
 
     private LoadBalancer newLoadBalancer(LoadBalancerActions actions) {
         LoadBalancer created = loadBalancerFactory.create(configuration, clock.nowMicros(), actions);
-        created.onEndpointList(
-                clock.nowMicros(),
-                EndpointListType.CACHED,
-                configuration.initialEndpoints().endpoints());
+        created.onEndpointList(clock.nowMicros(), EndpointListType.CACHED, initialEndpoints.endpoints());
         return created;
     }
 
--- a/src/main/java/loadbalancer/proxy/protocol/EndpointList.java
+++ b/src/main/java/loadbalancer/proxy/protocol/EndpointList.java
@@ -64,7 +64,7 @@
     }
 
     private static Endpoint readEndpoint(JsonObject entry) {
-        // Start times are Unix times, in milliseconds on the wire and in microseconds in the load balancer.
+        // Start times are Unix times, in milliseconds on the wire and in microseconds here.
         return new Endpoint(
                 entry.string("instanceId"),
                 entry.stringOr("zone", ""),
