Notice the beginning of a request that arrives with the end of the one before it

The connection counted as idle also for eviction and shutdown. Cause: ConnectionActivity cleared the start of the partial request when the previous one was complete, and learned of it only with further bytes. RequestDecoder now says after each read whether part of a request is left.

--- a/src/main/java/loadbalancer/proxy/client/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientConnection.java
@@ -78,10 +78,11 @@
     }
 
     void addHandlers() {
+        RequestDecoder decoder = new RequestDecoder();
         channel.pipeline()
                 .addLast(
-                        new ReceivedBytesHandler(this),
-                        new RequestDecoder(),
+                        new ReceivedBytesHandler(this, decoder),
+                        decoder,
                         new HttpResponseEncoder(),
                         new RequestAggregator(this::hasPendingResponse),
                         this);
@@ -95,6 +96,11 @@
         activity.bytesReceived(clock.nowMicros());
     }
 
+    /** Records whether part of a request is left after the received bytes have been decoded. */
+    void bytesDecoded(boolean partialRequest) {
+        activity.bytesDecoded(partialRequest);
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (!acceptsRequests()) {
--- a/src/main/java/loadbalancer/proxy/client/ConnectionActivity.java
+++ b/src/main/java/loadbalancer/proxy/client/ConnectionActivity.java
@@ -43,6 +43,18 @@
         }
     }
 
+    /**
+     * Records whether part of a request is left after the bytes just read have been decoded. The part may have been
+     * read together with the end of the request before it, or the request may have been dropped without being handled.
+     */
+    void bytesDecoded(boolean partialRequest) {
+        if (!partialRequest) {
+            requestStartMicros = NO_INCOMPLETE_REQUEST;
+        } else if (requestStartMicros == NO_INCOMPLETE_REQUEST) {
+            requestStartMicros = lastActivityMicros;
+        }
+    }
+
     /** Records that the last byte of a request was read. */
     void requestReceived() {
         requestReceived = true;
@@ -65,10 +77,7 @@
         return requestReceived;
     }
 
-    /**
-     * Returns whether the first but not the last byte of a request was read. A first byte that was read together with
-     * the end of the previous request counts only once more bytes are read.
-     */
+    /** Returns whether the first but not the last byte of a request was read. */
     boolean isReceivingRequest() {
         return requestStartMicros != NO_INCOMPLETE_REQUEST;
     }
--- a/src/main/java/loadbalancer/proxy/client/ReceivedBytesHandler.java
+++ b/src/main/java/loadbalancer/proxy/client/ReceivedBytesHandler.java
@@ -5,15 +5,17 @@
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * The first handler of a client's connection, before the decoder: records when bytes arrive, and discards them once the
- * connection accepts no further requests. The socket is read even then, because otherwise the end of the connection
- * would not be noticed.
+ * The first handler of a client's connection, before the decoder: records when bytes arrive and, once the decoder has
+ * handled them, whether a request is partly received. Discards bytes once the connection accepts no further requests.
+ * The socket is read even then, because otherwise the end of the connection would not be noticed.
  */
 final class ReceivedBytesHandler extends ChannelInboundHandlerAdapter {
     private final ClientConnection connection;
+    private final RequestDecoder decoder;
 
-    ReceivedBytesHandler(ClientConnection connection) {
+    ReceivedBytesHandler(ClientConnection connection, RequestDecoder decoder) {
         this.connection = connection;
+        this.decoder = decoder;
     }
 
     @Override
@@ -24,5 +26,6 @@
         }
         connection.bytesReceived();
         context.fireChannelRead(bytes);
+        connection.bytesDecoded(decoder.hasPartialRequest());
     }
 }
--- a/src/test/java/loadbalancer/proxy/client/ConnectionActivityTest.java
+++ b/src/test/java/loadbalancer/proxy/client/ConnectionActivityTest.java
@@ -41,6 +41,24 @@
         assertTrue(activity.isRequestTimedOut(startMicros + 2_000_001));
     }
 
+    @Test
+    void timesOutRequestThatBeganInSameReadAsEndOfPreviousOne() {
+        activity.bytesReceived(ACCEPTED_MICROS);
+        activity.requestReceived();
+        activity.bytesDecoded(true);
+        assertTrue(activity.isReceivingRequest());
+        activity.responseWritten(ACCEPTED_MICROS + 1_000_000);
+        assertFalse(activity.isRequestTimedOut(ACCEPTED_MICROS + 2_000_000));
+        assertTrue(activity.isRequestTimedOut(ACCEPTED_MICROS + 2_000_001));
+    }
+
+    @Test
+    void countsConnectionAsIdleAfterDroppedRequest() {
+        activity.bytesReceived(ACCEPTED_MICROS);
+        activity.bytesDecoded(false);
+        assertFalse(activity.isReceivingRequest());
+    }
+
     @Test
     void timesOutIdleConnectionFourSecondsAfterLastResponse() {
         activity.bytesReceived(ACCEPTED_MICROS);
--- a/src/test/java/loadbalancer/proxy/client/MalformedInputTest.java
+++ b/src/test/java/loadbalancer/proxy/client/MalformedInputTest.java
@@ -5,7 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import loadbalancer.proxy.configuration.ConfigurationException;
@@ -159,6 +161,37 @@
         }
     }
 
+    /** A client may pipeline requests and stop within one. It gets its error although the first part came in time. */
+    @Test
+    void respondsToRequestThatStopsAfterPipelinedOne() throws Exception {
+        String[] parts = {
+            "G",
+            "GET /api HTTP/1.1\r\n",
+            "GET /api HTTP/1.1\r\nX-T",
+            "POST /api HTTP/1.1\r\nContent-Length: 10\r\n\r\n",
+            "POST /api HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf",
+        };
+        try (SidecarFixture fixture = new SidecarFixture()) {
+            fixture.addEndpoint(StubServer.echoingRequestId());
+            fixture.start();
+            List<StubServer.Client> clients = new ArrayList<>();
+            for (int i = 0; i < parts.length; i++) {
+                clients.add(fixture.client().send(SidecarFixture.idempotentRequest("a" + i, 20_000) + parts[i]));
+            }
+            for (int i = 0; i < parts.length; i++) {
+                try (StubServer.Client client = clients.get(i)) {
+                    assertEquals("a" + i, client.readResponse().body());
+                    assertEquals(408, client.readStatus(), parts[i]);
+                }
+            }
+            try (StubServer.Client client = fixture.client()) {
+                client.send(SidecarFixture.idempotentRequest("b", 20_000) + "\r\n");
+                assertEquals("b", client.readResponse().body());
+                assertEquals(-1, client.readStatus(), "an empty line after a request is not part of another one");
+            }
+        }
+    }
+
     /** Without this limit, a client could make the sidecar hold a request and its resources for days. */
     @Test
     void limitsRemainingTimeOfRequestToDeadlineOfItsClass() throws Exception {
