Pause between polls of discovery where no poll interval is configured

The limit of the delay is now taken from the interval only where there is one, and is at least 0.2 s. pausesBetweenPollsWithoutPollInterval failed before.

--- a/src/main/java/loadbalancer/decision/DiscoveryPoller.java
+++ b/src/main/java/loadbalancer/decision/DiscoveryPoller.java
@@ -16,6 +16,9 @@
      */
     private static final long MAX_DELAY_MICROS = 1_000_000;
 
+    /** Lower limit of the delay before jitter, also if the poll interval is shorter or not configured. */
+    private static final long MIN_DELAY_MICROS = 200_000;
+
     private final PolicySettings settings;
     private final LoadBalancerActions actions;
     private final SplittableRandom random;
@@ -58,9 +61,15 @@
         // The jitter spreads the calls of sidecars whose calls failed at the same time.
         long jitteredMicros = delayMicros / 2 + random.nextLong(delayMicros);
         actions.startTimer(TimerNames.DISCOVERY_RETRY, jitteredMicros);
-        // With jitter, at most about three quarters of the poll interval. 1 is added as nextLong needs a positive
-        // bound.
-        long maxDelayMicros = Math.min(MAX_DELAY_MICROS, settings.rules().pollIntervalMicros() / 2 + 1);
-        delayMicros = Math.min(delayMicros * 2, maxDelayMicros);
+        delayMicros = Math.min(delayMicros * 2, maxDelayMicros());
+    }
+
+    /** Returns the upper limit of the delay before jitter. With jitter, it is three quarters of the poll interval. */
+    private long maxDelayMicros() {
+        long pollIntervalMicros = settings.rules().pollIntervalMicros();
+        if (pollIntervalMicros <= 0) {
+            return MAX_DELAY_MICROS;
+        }
+        return Math.max(MIN_DELAY_MICROS, Math.min(MAX_DELAY_MICROS, pollIntervalMicros / 2));
     }
 }
--- a/src/test/java/loadbalancer/decision/DiscoveryPollerTest.java
+++ b/src/test/java/loadbalancer/decision/DiscoveryPollerTest.java
@@ -44,9 +44,21 @@
      */
     @Test
     void keepsBackoffWithinBoundsDuringLongOutage() {
+        keepsBackoffWithinBounds(10_000_000, 250_000);
+    }
+
+    /** A setting that is missing or very short must not make the sidecar poll without a pause. */
+    @Test
+    void pausesBetweenPollsWithoutPollInterval() {
+        keepsBackoffWithinBounds(0, 250_000);
+        keepsBackoffWithinBounds(1, 100_000);
+    }
+
+    private static void keepsBackoffWithinBounds(long pollIntervalMicros, long minDelayMicros) {
         for (int seed = 0; seed < 20; seed++) {
             PolicyFixture fixture = new PolicyFixture();
             fixture.polledDiscovery = true;
+            fixture.pollIntervalMicros = pollIntervalMicros;
             fixture.seed = seed;
             fixture.start();
             for (int failures = 0; failures < 30; failures++) {
@@ -54,7 +66,7 @@
                 fixture.receiveEndpointList(EndpointListType.FAILED);
                 long delayMicros = fixture.timerDelaysMicros(DISCOVERY_TIMER).get(0);
                 assertTrue(
-                        delayMicros >= 250_000 && delayMicros <= 1_500_000,
+                        delayMicros >= minDelayMicros && delayMicros <= 1_500_000,
                         "delay before the next poll: " + delayMicros + " us");
                 fixture.advanceMicros(delayMicros).fireTimer(DISCOVERY_TIMER);
                 assertEquals(1, fixture.discoveryPollCount());
--- a/src/test/java/loadbalancer/decision/PolicyFixture.java
+++ b/src/test/java/loadbalancer/decision/PolicyFixture.java
@@ -64,6 +64,7 @@
     double connectionPrice;
     double crossZonePrice;
     boolean polledDiscovery;
+    long pollIntervalMicros = 10_000_000;
     long seed = 7;
     LoadReporting loadReporting = LoadReporting.INLINE;
     List<Tenant> tenants = List.of();
@@ -100,7 +101,8 @@
                 tenants,
                 new RequestLimits(
                         maxAttempts, hedging, true, healthChecks, gossip, true, 1_000_000, 15_000_000, 250_000, 0),
-                new EndpointRules(500_000, 0.13, 24_000_000, 3, 1_000_000, 10_000_000, 5_000, closeOnDrainMicros),
+                new EndpointRules(
+                        500_000, 0.13, 24_000_000, 3, 1_000_000, pollIntervalMicros, 5_000, closeOnDrainMicros),
                 loadReporting,
                 polledDiscovery,
                 false,
