Use the other zones if the local zone has no ready endpoint

ZoneTrafficSplit gave the local zone all requests. Such a zone is not preferred any more, and each ring of the other zones then contributes at least one endpoint to the subset, which rounding could leave empty. usesOtherZonesIfLocalZoneHasNoEndpoint failed before at its first request.

--- a/src/main/java/loadbalancer/decision/EndpointSubset.java
+++ b/src/main/java/loadbalancer/decision/EndpointSubset.java
@@ -12,7 +12,8 @@
  * subset contains a segment of consecutive endpoints of each ring. The sidecar's index determines where its segments
  * start, so that the subsets of all sidecars cover the endpoints evenly and one added or removed endpoint shifts a
  * segment by one position at most. The length of the segments is proportional to the sidecar's fraction of the fleet's
- * request rate, so that the number of sidecars that use an endpoint does not depend on the size of the fleet.
+ * request rate, so that the number of sidecars that use an endpoint does not depend on the size of the fleet. Each ring
+ * of the local zone contributes at least one endpoint, and each ring of any zone if the local zone has none.
  */
 final class EndpointSubset {
     private static final long UPDATE_INTERVAL_MICROS = 500_000;
@@ -101,10 +102,16 @@
             rings.computeIfAbsent(key, unused -> new ArrayList<>()).add(endpoint);
             readyCountByZone[endpoint.zoneIndex()]++;
         }
+        boolean localZoneHasEndpoints = readyCountByZone[settings.localZoneIndex()] > 0;
         List<TrackedEndpoint> selected = new ArrayList<>();
         for (Map.Entry<ZoneAndMachineType, List<TrackedEndpoint>> ring : rings.entrySet()) {
             int zoneIndex = ring.getKey().zoneIndex();
-            addSegment(ring.getValue(), zoneIndex, size, readyCountByZone[zoneIndex], selected);
+            double exactSize = zoneTrafficSplit.fraction(zoneIndex)
+                    * size
+                    * ring.getValue().size()
+                    / readyCountByZone[zoneIndex];
+            boolean mustContribute = !localZoneHasEndpoints || zoneIndex == settings.localZoneIndex();
+            addSegment(ring.getValue(), exactSize, mustContribute ? 1 : 0, selected);
         }
         return selected;
     }
@@ -125,16 +132,10 @@
         return Math.min(maxSize, targetSize);
     }
 
-    /** Adds this sidecar's segment of one ring to the selected endpoints; in the local zone, at least one endpoint. */
-    private void addSegment(
-            List<TrackedEndpoint> ring,
-            int zoneIndex,
-            double size,
-            int zoneReadyCount,
-            List<TrackedEndpoint> selected) {
-        double exactCount = zoneTrafficSplit.fraction(zoneIndex) * size * ring.size() / zoneReadyCount;
-        double roundedCount = Math.floor(exactCount + settings.sidecarIndex() * ROUNDING_STEP % 1);
-        double count = Math.max(zoneIndex == settings.localZoneIndex() ? 1 : 0, roundedCount);
+    /** Adds this sidecar's segment of one ring to the selected endpoints. */
+    private void addSegment(List<TrackedEndpoint> ring, double exactSize, int minSize, List<TrackedEndpoint> selected) {
+        double roundedSize = Math.floor(exactSize + settings.sidecarIndex() * ROUNDING_STEP % 1);
+        double count = Math.max(minSize, roundedSize);
         int start = (int) (settings.sidecarIndex() * GOLDEN_RATIO_CONJUGATE % 1 * ring.size());
         for (int i = 0; i < Math.min(count, ring.size()); i++) {
             selected.add(ring.get((i + start) % ring.size()));
--- a/src/main/java/loadbalancer/decision/ZoneTrafficSplit.java
+++ b/src/main/java/loadbalancer/decision/ZoneTrafficSplit.java
@@ -6,7 +6,8 @@
  * <p>If crossing zones costs little, or if local requests represent the load of the endpoints well, the fractions are
  * proportional to the zones' numbers of ready endpoints. Otherwise requests leave the local zone only if its sidecars
  * receive a larger fraction of the fleet's request rate than the zone has of the ready endpoints, and then only the
- * excess leaves. Without live peers, all requests stay in the local zone.
+ * excess leaves. Without live peers, all requests stay in the local zone. A local zone without ready endpoints is not
+ * preferred.
  */
 final class ZoneTrafficSplit {
     private final PolicySettings settings;
@@ -25,7 +26,8 @@
         for (TrackedEndpoint endpoint : registry.ready()) {
             fractions[endpoint.zoneIndex()] += 1.0 / registry.ready().size();
         }
-        if (settings.prefersLocalZone() && settings.localLoadIsUnrepresentative()) {
+        boolean localZoneHasEndpoints = fractions[settings.localZoneIndex()] > 0;
+        if (settings.prefersLocalZone() && settings.localLoadIsUnrepresentative() && localZoneHasEndpoints) {
             preferLocalZone();
         }
     }
--- a/src/test/java/loadbalancer/decision/EndpointSubsetTest.java
+++ b/src/test/java/loadbalancer/decision/EndpointSubsetTest.java
@@ -14,6 +14,32 @@
 
 /** If connections have a price, a sidecar uses a small subset of the endpoints. */
 class EndpointSubsetTest {
+    /** Without gossip every sidecar prefers its own zone, which must not leave it without an endpoint. */
+    @Test
+    void usesOtherZonesIfLocalZoneHasNoEndpoint() {
+        List<Endpoint> endpoints = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            String zone = i % 2 == 0 ? "zb" : "zc";
+            endpoints.add(new Endpoint("u" + i * 7919, zone, "type" + i / 2, i, 0, 1, EndpointState.READY));
+        }
+        for (int i = 0; i < 14; i++) {
+            for (double crossZonePrice : new double[] {0, 0.05}) {
+                PolicyFixture fixture = new PolicyFixture();
+                fixture.sidecarIndex = i;
+                fixture.sidecarCount = 14;
+                fixture.connectionPrice = 0.05;
+                fixture.crossZonePrice = crossZonePrice;
+                fixture.loadReporting = LoadReporting.NONE;
+                fixture.start().receiveFullSnapshot(endpoints.toArray(new Endpoint[0]));
+                for (int j = 0; j < 20; j++) {
+                    fixture.advanceMicros(200_000).request("r" + j);
+                    assertEquals(1, fixture.attemptCount("r" + j), "sidecar " + i + ", request " + j);
+                    fixture.outcome("r" + j, 0, fixture.endpointOf("r" + j, 0), AttemptOutcome.OK, 75_000);
+                }
+            }
+        }
+    }
+
     @Test
     void selectsSmallSubsetsSpreadEvenlyOverEachMachineType() {
         int sidecarCount = 400;
