--- a/src/main/java/loadbalancer/proxy/client/ClientListener.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientListener.java
@@ -3,12 +3,14 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
 import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
+import loadbalancer.proxy.eventloop.SocketBinding;
 
 /**
  * The listening socket for clients. {@link #bind} is called once, on a thread other than the event loop's. All other
@@ -23,7 +25,9 @@
     private static final int MAX_READS_PER_ITERATION = 64;
 
     private final ReadTrackingEventLoop eventLoop;
-    private final AcceptBacklog backlog;
+    /** Replaced by each attempt to bind. */
+    private AcceptBacklog backlog;
+
     private final Consumer<Channel> onAccepted;
     private Channel channel;
     private long lastAcceptedMicros;
@@ -41,7 +45,14 @@
      * @throws java.net.BindException (not declared) if the address can't be bound
      */
     InetSocketAddress bind(InetSocketAddress address) throws InterruptedException {
-        channel = new ServerBootstrap()
+        channel = SocketBinding.bind(() -> tryBind(address));
+        return (InetSocketAddress) channel.localAddress();
+    }
+
+    private ChannelFuture tryBind(InetSocketAddress address) {
+        // A handler belongs to one channel, and each attempt creates a channel.
+        backlog = new AcceptBacklog(eventLoop);
+        return new ServerBootstrap()
                 .group(eventLoop.nettyEventLoop())
                 .channelFactory(NioServerSocketChannel::new)
                 .handler(backlog)
@@ -62,10 +73,7 @@
                         onAccepted.accept(accepted);
                     }
                 })
-                .bind(address)
-                .sync()
-                .channel();
-        return (InetSocketAddress) channel.localAddress();
+                .bind(address);
     }
 
     /** Pauses or resumes accepting. While it is paused, new connections wait in the accept backlog. */
--- a/src/main/java/loadbalancer/proxy/gossip/GossipTransport.java
+++ b/src/main/java/loadbalancer/proxy/gossip/GossipTransport.java
@@ -16,6 +16,7 @@
 import loadbalancer.decision.LoadBalancerActions;
 import loadbalancer.proxy.eventloop.LoadBalancerExecutor;
 import loadbalancer.proxy.eventloop.MonotonicClock;
+import loadbalancer.proxy.eventloop.SocketBinding;
 
 /**
  * Sends and receives the gossip datagrams between sidecars. A peer is identified by its index in the configured list.
@@ -70,13 +71,11 @@
      * @throws java.net.BindException (not declared) if the address can't be bound
      */
     public void listen(EventLoop loop, InetSocketAddress address) throws InterruptedException {
-        channel = new Bootstrap()
+        channel = SocketBinding.bind(() -> new Bootstrap()
                 .group(loop)
                 .channelFactory(() -> new NioDatagramChannel())
                 .handler(new DatagramHandler())
-                .bind(address)
-                .sync()
-                .channel();
+                .bind(address));
     }
 
     /**
