Add the command fault-soak: sidecar processes under faults drawn from seeds, and a checker

It starts two or three sidecar processes on loopback addresses between stand-ins for clients, endpoints and discovery's agent, each path a link of its own that can be silent, delayed, reset or refused. A seed draws the deployment and the faults: lists whole, empty, in pieces, indented; watches that end; endpoints that hang, drain, vanish, return in slow start, answer broken; reloads, restarts with SIGKILL at the earliest time, SIGSTOP; clients that leave, stop, pipeline, crowd; steps of the wall clock and failing system calls by a small library in C. A checker that uses no code of the sidecar judges the record; its test plants a history just beyond and one just within the slack of each rule.

--- a/src/main/java/loadbalancer/Main.java
+++ b/src/main/java/loadbalancer/Main.java
@@ -5,17 +5,20 @@
 import loadbalancer.proxy.lifecycle.SidecarProcess;
 import loadbalancer.simulation.FleetCostCommand;
 import loadbalancer.simulator.SimulatorHost;
+import loadbalancer.soak.FaultSoakCommand;
 import picocli.CommandLine;
 
 /**
  * The command line. {@code serve} runs a sidecar, {@code simulator} hosts decision modules that a simulator drives over
- * standard input and output, and {@code fleet-cost} measures the processor time, memory and messages that fleets use.
- * The exit status is 2 if the command line is invalid, otherwise that of the command.
+ * standard input and output, {@code fleet-cost} measures the processor time, memory and messages that fleets use, and
+ * {@code fault-soak} checks sidecar processes under injected faults. The exit status is 2 if the command line is
+ * invalid, otherwise that of the command.
  */
 public final class Main {
     private static final String SERVE = "serve";
     private static final String SIMULATOR = "simulator";
     private static final String FLEET_COST = "fleet-cost";
+    private static final String FAULT_SOAK = "fault-soak";
     private static final int EXIT_USAGE = 2;
 
     private Main() {}
@@ -41,7 +44,11 @@
             String[] options = Arrays.copyOfRange(arguments, 1, arguments.length);
             System.exit(new CommandLine(new FleetCostCommand()).execute(options));
         }
-        System.err.println("usage: java -jar load-balancer-sidecar.jar serve|simulator|fleet-cost");
+        if (command.equals(FAULT_SOAK)) {
+            String[] options = Arrays.copyOfRange(arguments, 1, arguments.length);
+            System.exit(new CommandLine(new FaultSoakCommand()).execute(options));
+        }
+        System.err.println("usage: java -jar load-balancer-sidecar.jar serve|simulator|fleet-cost|fault-soak");
         System.exit(EXIT_USAGE);
     }
 }
