Give each sidecar of the soak a loopback address of its own

Trace: the port that the soak had found free on 127.0.0.1 was taken by another socket before the sidecar bound it, and the clients of the soak reached that one.

--- a/src/main/java/loadbalancer/soak/ReadinessProbe.java
+++ b/src/main/java/loadbalancer/soak/ReadinessProbe.java
@@ -16,11 +16,10 @@
     private ReadinessProbe() {}
 
     /** Starts asking on a thread of its own; {@code onReady} runs on the event loop. */
-    static void start(SoakContext context, String address, BooleanSupplier isCurrent, Runnable onReady) {
-        int port = Integer.parseInt(address.substring(address.indexOf(':') + 1));
+    static void start(SoakContext context, InetSocketAddress address, BooleanSupplier isCurrent, Runnable onReady) {
         Thread thread = new Thread(
                 () -> {
-                    if (awaitReady(port, isCurrent)) {
+                    if (awaitReady(address, isCurrent)) {
                         context.loop().execute(onReady);
                     }
                 },
@@ -29,9 +28,9 @@
         thread.start();
     }
 
-    private static boolean awaitReady(int port, BooleanSupplier isCurrent) {
+    private static boolean awaitReady(InetSocketAddress address, BooleanSupplier isCurrent) {
         while (isCurrent.getAsBoolean()) {
-            if (isReady(port)) {
+            if (isReady(address)) {
                 return true;
             }
             try {
@@ -43,9 +42,9 @@
         return false;
     }
 
-    private static boolean isReady(int port) {
+    private static boolean isReady(InetSocketAddress address) {
         try (Socket socket = new Socket()) {
-            socket.connect(new InetSocketAddress("127.0.0.1", port), TIMEOUT_MILLIS);
+            socket.connect(address, TIMEOUT_MILLIS);
             socket.setSoTimeout(TIMEOUT_MILLIS);
             socket.getOutputStream().write(REQUEST);
             String start = new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII);
--- a/src/main/java/loadbalancer/soak/SoakWorld.java
+++ b/src/main/java/loadbalancer/soak/SoakWorld.java
@@ -1,10 +1,7 @@
 package loadbalancer.soak;
 
 import java.io.IOException;
-import java.net.DatagramSocket;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -37,8 +34,9 @@
     private final List<DiscoveryAgent> agents = new ArrayList<>();
     private final List<ClientStandIn> clients = new ArrayList<>();
     private final List<SidecarUnderTest> sidecars = new ArrayList<>();
-    private final List<String> listenAddresses = new ArrayList<>();
-    private final List<String> gossipAddresses = new ArrayList<>();
+    /** The address of each sidecar, on which it listens for clients and for gossip. */
+    private final List<String> hosts = new ArrayList<>();
+
     private final EndpointRegistry registry;
     private final Histogram latencyMicros = new Histogram(MAX_LATENCY_MICROS, LATENCY_DIGITS);
     private final AtomicInteger processCount = new AtomicInteger();
@@ -60,8 +58,7 @@
         connectUntilMicros = new AtomicLongArray(settings.sidecarCount());
         for (int sidecar = 0; sidecar < settings.sidecarCount(); sidecar++) {
             sidecars.add(new SidecarUnderTest(sidecar, context, folder, shim));
-            listenAddresses.add("127.0.0.1:" + freeTcpPort());
-            gossipAddresses.add("127.0.0.1:" + freeUdpPort());
+            hosts.add(LoopbackAddresses.newHost());
         }
         List<EndpointRegistry.Entry> entries = new ArrayList<>();
         for (int i = 0; i < settings.endpointCount(); i++) {
@@ -81,9 +78,7 @@
     }
 
     private ClientStandIn newClient(int sidecar) {
-        String[] hostAndPort = listenAddresses.get(sidecar).split(":");
-        InetSocketAddress address =
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), Integer.parseInt(hostAndPort[1]));
+        InetSocketAddress address = LoopbackAddresses.socketAddress(hosts.get(sidecar));
         return new ClientStandIn(
                 sidecar,
                 context,
@@ -93,18 +88,6 @@
                 latencyMicros);
     }
 
-    private static int freeTcpPort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
-
-    private static int freeUdpPort() throws IOException {
-        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
-
     private int processNumber(int sidecar) {
         return sidecars.get(sidecar).processNumber();
     }
@@ -170,12 +153,16 @@
         if (process.control() != null) {
             process.control().setClockStepMillis(wallClockStepMillis);
         }
-        ReadinessProbe.start(context, listenAddresses.get(sidecar), () -> process.processNumber() == number, () -> {
-            process.record(ProcessEventType.READY, 0);
-            ready.set(sidecar, 1);
-            connectUntilMicros.set(sidecar, Long.MAX_VALUE);
-            clients.get(sidecar).start();
-        });
+        ReadinessProbe.start(
+                context,
+                LoopbackAddresses.socketAddress(hosts.get(sidecar)),
+                () -> process.processNumber() == number,
+                () -> {
+                    process.record(ProcessEventType.READY, 0);
+                    ready.set(sidecar, 1);
+                    connectUntilMicros.set(sidecar, Long.MAX_VALUE);
+                    clients.get(sidecar).start();
+                });
     }
 
     /**
@@ -215,16 +202,16 @@
                 .sync()
                 .getNow();
         StringJoiner peers = new StringJoiner("\",\"", "[\"", "\"]");
-        gossipAddresses.forEach(peers::add);
+        hosts.forEach(host -> peers.add(LoopbackAddresses.text(host)));
         return ("{\"name\":\"n%d\",\"listen\":\"%s\",\"discovery\":\"%s\",\"seed\":\"%x\",\"limits\":{\"sockets\":%d},"
                         + "\"peer_listen\":\"%s\",\"peers\":%s,\"known\":%s,\"settings\":%s}")
                 .formatted(
                         sidecar,
-                        listenAddresses.get(sidecar),
+                        LoopbackAddresses.text(hosts.get(sidecar)),
                         agents.get(sidecar).link(discoveryLinks.get(sidecar)).address(),
                         processCount.get() + 1,
                         SoakSettings.DESCRIPTOR_LIMIT,
-                        gossipAddresses.get(sidecar),
+                        LoopbackAddresses.text(hosts.get(sidecar)),
                         peers,
                         knownList,
                         context.settings().json(sidecar));
