Log why requests are retried, rejected or failed, why connections close, and failed accepts

A night on call could see totals, but not why one request ended as it did. request_retried, request_rejected and request_failed name the request, its attempts, the last endpoint and outcome, and the times; client_connection_closed names the reason of each close by the sidecar; each at most one or two lines a second, with the number left out.

--- a/src/main/java/loadbalancer/proxy/client/AcceptBacklog.java
+++ b/src/main/java/loadbalancer/proxy/client/AcceptBacklog.java
@@ -5,6 +5,8 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
+import loadbalancer.proxy.observability.LogRateLimit;
+import loadbalancer.proxy.observability.SidecarLog;
 
 /**
  * Pauses and resumes accepting connections on one listener, and computes an upper bound on the time that a connection
@@ -12,6 +14,9 @@
  * of the connection's first request. A wait because the event loop is late is not included; see
  * {@link ReadTrackingEventLoop#currentLagMicros}. It is a handler in the listener's pipeline. Confined to the event
  * loop.
+ *
+ * <p>A failed accept pauses accepting, because the cause may last and the failure would be repeated without a pause.
+ * {@link SidecarHttpServer#closeTimedOutConnections} resumes accepting within 100 ms.
  */
 final class AcceptBacklog extends ChannelInboundHandlerAdapter {
     /** The maximum number of connections that Netty accepts in one read of a listener. */
@@ -20,6 +25,7 @@
     private static final long UNSET = 0;
 
     private final ReadTrackingEventLoop eventLoop;
+    private final LogRateLimit failures = new LogRateLimit(1);
     private Channel listener;
     private int acceptedInRead;
     /**
@@ -84,6 +90,15 @@
         }
     }
 
+    /** Handles a failed accept. The error is not passed on, since Netty would pause accepting for a second. */
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (failures.allowsLine(eventLoop.clock().nowMicros())) {
+            SidecarLog.info("accept_failed error=" + SidecarLog.quote(cause) + failures.suppressedLines());
+        }
+        setAccepting(false);
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object channel) {
         acceptedInRead++;
--- a/src/main/java/loadbalancer/proxy/client/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import loadbalancer.proxy.client.ConnectionCloseLog.Reason;
 import loadbalancer.proxy.eventloop.MonotonicClock;
 import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
 import loadbalancer.proxy.observability.SidecarLog;
@@ -110,7 +111,7 @@
         FullHttpRequest request = (FullHttpRequest) message;
         if (!request.decoderResult().isSuccess()) {
             request.release();
-            rejectInput(HttpResponseStatus.BAD_REQUEST);
+            rejectInput(HttpResponseStatus.BAD_REQUEST, Reason.INVALID_INPUT);
             return;
         }
         // If the event loop is late, the bytes arrived before they were read.
@@ -119,7 +120,7 @@
         activity.requestReceived();
         handlePipelinedRequests();
         if (pipelinedRequests.exceedsLimit()) {
-            rejectInput(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            rejectInput(HttpResponseStatus.SERVICE_UNAVAILABLE, Reason.TOO_MANY_PIPELINED_REQUESTS);
         }
     }
 
@@ -127,9 +128,10 @@
      * Accepts no further requests. Writes the error response after the pending responses, then closes the connection.
      * Has no effect after an earlier error.
      */
-    private void rejectInput(HttpResponseStatus error) {
+    private void rejectInput(HttpResponseStatus error, Reason reason) {
         if (inputError == null) {
             inputError = error;
+            server.closeLog().closing(clock.nowMicros(), reason, channel.remoteAddress());
             handlePipelinedRequests();
         }
     }
@@ -295,14 +297,14 @@
             return;
         }
         if (activity.isRequestTimedOut(nowMicros)) {
-            rejectInput(HttpResponseStatus.REQUEST_TIMEOUT);
+            rejectInput(HttpResponseStatus.REQUEST_TIMEOUT, Reason.REQUEST_TIMEOUT);
         } else if (inputError == null && activity.isIdleTimedOut(nowMicros)) {
-            close();
+            close(Reason.IDLE_TIMEOUT);
         }
     }
 
     /**
-     * Closes the connection if no response is pending and its last activity was before a cutoff time.
+     * Closes the connection for the shutdown if no response is pending and its last activity was before a cutoff time.
      *
      * @param idleCutoffMicros the cutoff for a connection between requests
      * @param receivingCutoffMicros the cutoff for a connection that has received only part of a request
@@ -310,11 +312,12 @@
     void closeIfInactive(long idleCutoffMicros, long receivingCutoffMicros) {
         long cutoffMicros = isBetweenRequests() ? idleCutoffMicros : receivingCutoffMicros;
         if (!hasPendingResponse() && activity.lastActivityMicros() < cutoffMicros) {
-            close();
+            close(Reason.SHUTDOWN);
         }
     }
 
-    void close() {
+    void close(Reason reason) {
+        server.closeLog().closing(clock.nowMicros(), reason, channel.remoteAddress());
         channel.close();
     }
 
@@ -333,9 +336,9 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (cause instanceof TooLongFrameException) {
-            rejectInput(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            rejectInput(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, Reason.INVALID_INPUT);
         } else if (cause instanceof CodecException) {
-            rejectInput(HttpResponseStatus.BAD_REQUEST);
+            rejectInput(HttpResponseStatus.BAD_REQUEST, Reason.INVALID_INPUT);
         } else {
             if (!(cause instanceof IOException)) {
                 SidecarLog.error("client_connection_failed", cause);
--- a/src/main/java/loadbalancer/proxy/client/ClientConnections.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientConnections.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import loadbalancer.proxy.client.ConnectionCloseLog.Reason;
 
 /**
  * The open connections of clients. Selects the connection to close when the maximum number is reached. Confined to the
@@ -71,7 +72,7 @@
                     .filter(connection -> connection.idleMicros(nowMicros) > MIN_IDLE_BEFORE_EVICTION_MICROS)
                     .min(Comparator.comparing(ClientConnection::hasReceivedRequest)
                             .thenComparing(ClientConnection::lastActivityMicros))
-                    .ifPresent(ClientConnection::close);
+                    .ifPresent(connection -> connection.close(Reason.EVICTED));
         }
     }
 
--- a/src/main/java/loadbalancer/proxy/client/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/client/RequestDispatcher.java
@@ -12,6 +12,7 @@
 import loadbalancer.decision.AttemptOutcome;
 import loadbalancer.decision.AttemptResult;
 import loadbalancer.decision.LoadReport;
+import loadbalancer.proxy.client.RequestLog.FailureReason;
 import loadbalancer.proxy.eventloop.FaultIsolation;
 import loadbalancer.proxy.eventloop.LoadBalancerExecutor;
 import loadbalancer.proxy.eventloop.MonotonicClock;
@@ -47,6 +48,7 @@
     private final UpstreamConnectionPool upstreamPool;
     private int maxAttempts;
     private final TrafficStatistics statistics;
+    private final RequestLog log = new RequestLog();
     /** The open requests by id: those that are not completed or have an attempt in flight. */
     private final Map<String, RequestExchange> exchanges = new HashMap<>();
     /** The requests that are not completed, ordered by deadline, the earliest first. */
@@ -107,6 +109,7 @@
         if (exchange.dispatchedMicros() >= exchange.deadlineMicros()) {
             exchange.markCompleted();
             statistics.requestFailed();
+            log.failed(exchange.dispatchedMicros(), exchange, FailureReason.DEADLINE_PASSED);
             exchange.responseHandler().onFailed();
             return;
         }
@@ -118,7 +121,7 @@
         loadBalancerExecutor.submit(
                 "request",
                 loadBalancer -> loadBalancer.onRequest(clock.nowMicros(), exchange.request()),
-                () -> fail(exchange));
+                () -> fail(exchange, FailureReason.DECISION_FAILED));
     }
 
     /**
@@ -141,7 +144,7 @@
     void failOverdueRequests() {
         long nowMicros = clock.nowMicros();
         while (!exchangesByDeadline.isEmpty() && overdueAtMicros(exchangesByDeadline.first()) <= nowMicros) {
-            failAndReportExpired(exchangesByDeadline.pollFirst());
+            failAndReportExpired(exchangesByDeadline.pollFirst(), FailureReason.DEADLINE_PASSED);
         }
     }
 
@@ -172,14 +175,14 @@
     public void failRequestsWithoutAttemptInFlight() {
         for (RequestExchange exchange : List.copyOf(exchanges.values())) {
             if (!exchange.hasAttemptInFlight()) {
-                failAndReportExpired(exchange);
+                failAndReportExpired(exchange, FailureReason.DECISION_FAILED);
             }
         }
     }
 
-    private void failAndReportExpired(RequestExchange exchange) {
+    private void failAndReportExpired(RequestExchange exchange, FailureReason reason) {
         if (!exchange.isCompleted()) {
-            fail(exchange);
+            fail(exchange, reason);
             reportExpired(exchange);
         }
     }
@@ -212,6 +215,8 @@
         UpstreamCall attempt = createAttempt(exchange, attemptNumber, endpointId, attemptDeadlineMicros);
         if (attemptNumber == 0) {
             statistics.firstAttemptStarted(clock.nowMicros() - exchange.dispatchedMicros());
+        } else {
+            log.retried(clock.nowMicros(), exchange, endpointId);
         }
         exchange.attempts().add(attempt);
         if (maySend) {
@@ -268,7 +273,7 @@
 
     private void failIfNoAttemptInFlight(RequestExchange exchange) {
         if (!exchange.hasAttemptInFlight()) {
-            fail(exchange);
+            fail(exchange, FailureReason.DECISION_FAILED);
         }
     }
 
@@ -287,6 +292,7 @@
         RequestExchange exchange = exchanges.get(requestId);
         if (exchange != null && !exchange.isCompleted()) {
             statistics.requestRejected(exchange.request().requestClassName());
+            log.rejected(clock.nowMicros(), exchange, upstreamPool.readyEndpointCount());
             complete(exchange);
             exchange.responseHandler().onRejected(retryAfterMicros);
         }
@@ -296,13 +302,14 @@
     public void fail(String requestId) {
         RequestExchange exchange = exchanges.get(requestId);
         if (exchange != null) {
-            fail(exchange);
+            fail(exchange, FailureReason.NO_FURTHER_ATTEMPT);
         }
     }
 
-    private void fail(RequestExchange exchange) {
+    private void fail(RequestExchange exchange, FailureReason reason) {
         if (!exchange.isCompleted()) {
             statistics.requestFailed();
+            log.failed(clock.nowMicros(), exchange, reason);
             complete(exchange);
             exchange.responseHandler().onFailed();
         }
--- a/src/main/java/loadbalancer/proxy/client/SidecarHttpServer.java
+++ b/src/main/java/loadbalancer/proxy/client/SidecarHttpServer.java
@@ -25,6 +25,7 @@
     private final ConnectionLimits limits;
     private final TrafficStatistics statistics;
     private final ClientConnections connections;
+    private final ConnectionCloseLog closeLog = new ConnectionCloseLog();
     private final ClientListener listener;
     private final GracefulShutdown shutdown;
     /** Called with each request during the warm-up; null if no warm-up is in progress. */
@@ -97,6 +98,10 @@
         }
     }
 
+    ConnectionCloseLog closeLog() {
+        return closeLog;
+    }
+
     boolean isReady() {
         return !isShuttingDown() && !isWarmingUp() && discoveryConsulted.getAsBoolean();
     }
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnectionPool.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnectionPool.java
@@ -89,6 +89,15 @@
         return endpoints.size();
     }
 
+    /** Returns the number of endpoints that are ready. */
+    public int readyEndpointCount() {
+        int count = 0;
+        for (UpstreamEndpoint endpoint : endpoints.all()) {
+            count += endpoint.isReady() ? 1 : 0;
+        }
+        return count;
+    }
+
     /** Returns the number of connections that are open or being opened. */
     public int openConnectionCount() {
         return connector.openConnectionCount();
