--- a/src/main/java/loadbalancer/soak/ClientStandIn.java
+++ b/src/main/java/loadbalancer/soak/ClientStandIn.java
@@ -131,13 +131,17 @@
         }
     }
 
+    /**
+     * Draws requests of one class with the same time left. Responses come in the order of the requests, so that a
+     * request with less time than the one before it could not be answered in time.
+     */
     private List<OpenRequest> newRequests(int count) {
+        RequestKind kind = context.settings().drawKind(random);
+        int kindNumber = context.settings().kinds().indexOf(kind);
+        long remainingMicros = (long) (kind.deadlineMicros() * (0.4 + 0.6 * random.nextDouble()));
         List<OpenRequest> requests = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            RequestKind kind = context.settings().drawKind(random);
-            int kindNumber = context.settings().kinds().indexOf(kind);
             String id = "c%d-%d-%d".formatted(sidecar, requestCount++, kindNumber);
-            long remainingMicros = (long) (kind.deadlineMicros() * (0.4 + 0.6 * random.nextDouble()));
             requests.add(new OpenRequest(id, kind, remainingMicros / 1_000 * 1_000));
         }
         return requests;
