Send a keyed retry to another endpoint only if its cell is known to be the same

A retry now goes to the same endpoint or to one of the same known cell. sendsNoRetryToOtherEndpointOfUnknownCell failed before with 'a then b'.

--- a/src/main/java/loadbalancer/decision/AttemptEligibility.java
+++ b/src/main/java/loadbalancer/decision/AttemptEligibility.java
@@ -1,5 +1,6 @@
 package loadbalancer.decision;
 
+import loadbalancer.settings.DeduplicationScope;
 import loadbalancer.settings.Idempotency;
 import loadbalancer.settings.RequestClass;
 
@@ -62,12 +63,18 @@
                 || arrivalMicros - earlier.sentMicros() >= requestClass.deduplicationWindowMicros()) {
             return false;
         }
-        Endpoint earlierEntry = earlier.listEntry();
-        Endpoint retryEntry = endpoint.listEntry();
-        return switch (requestClass.deduplicationScope()) {
+        return isInScope(requestClass.deduplicationScope(), earlier.listEntry(), endpoint.listEntry());
+    }
+
+    /** Returns whether both endpoints share their idempotency keys. An unknown cell is not shared with any other. */
+    private static boolean isInScope(DeduplicationScope scope, Endpoint earlier, Endpoint retry) {
+        if (retry.id().equals(earlier.id())) {
+            return true;
+        }
+        return switch (scope) {
             case ALL -> true;
-            case ZONE -> retryEntry.zone().equals(earlierEntry.zone());
-            case CELL -> retryEntry.cell() == earlierEntry.cell();
+            case ZONE -> retry.zone().equals(earlier.zone());
+            case CELL -> retry.cell() == earlier.cell() && retry.cell() != Endpoint.NO_CELL;
         };
     }
 
