--- a/src/test/java/loadbalancer/decision/AttemptEligibilityTest.java
+++ b/src/test/java/loadbalancer/decision/AttemptEligibilityTest.java
@@ -61,19 +61,21 @@
     /** Two endpoints whose cells are unknown may be in different cells, where the key is not recognized. */
     @Test
     void sendsNoRetryToOtherEndpointOfUnknownCell() {
-        PolicyFixture fixture = new PolicyFixture();
-        fixture.idempotency = Idempotency.IDEMPOTENT_WITH_KEY;
-        fixture.deduplicationScope = DeduplicationScope.CELL;
-        fixture.start()
-                .receiveFullSnapshot(
-                        PolicyFixture.endpoint("a", "za", Endpoint.NO_CELL),
-                        PolicyFixture.endpoint("b", "za", Endpoint.NO_CELL))
-                .request("r")
-                .advanceMicros(10_000);
-        String first = fixture.endpointOf("r", 0);
-        fixture.outcome("r", 0, first, AttemptOutcome.ERROR, 10_000);
-        String second = fixture.endpointOf("r", 1);
-        assertTrue(second == null || second.equals(first), first + " then " + second);
+        Endpoint[] endpoints = new Endpoint[4];
+        for (int i = 0; i < endpoints.length; i++) {
+            endpoints[i] = PolicyFixture.endpoint("e" + i, "za", Endpoint.NO_CELL);
+        }
+        for (int seed = 0; seed < 20; seed++) {
+            PolicyFixture fixture = new PolicyFixture();
+            fixture.seed = seed;
+            fixture.idempotency = Idempotency.IDEMPOTENT_WITH_KEY;
+            fixture.deduplicationScope = DeduplicationScope.CELL;
+            fixture.start().receiveFullSnapshot(endpoints).request("r").advanceMicros(10_000);
+            String first = fixture.endpointOf("r", 0);
+            fixture.outcome("r", 0, first, AttemptOutcome.ERROR, 10_000);
+            String second = fixture.endpointOf("r", 1);
+            assertTrue(second == null || second.equals(first), first + " then " + second);
+        }
     }
 
     @Test
