--- a/src/main/java/loadbalancer/decision/GossipState.java
+++ b/src/main/java/loadbalancer/decision/GossipState.java
@@ -24,6 +24,8 @@
         peers = new GossipPeer[sidecarCount];
         zoneRatesPerSecond = new double[zoneCount];
         meanRatePerSecond = 0;
+        livePeers = 0;
+        livePeersInFlight = 0;
     }
 
     /** Stores the last gossip of a sidecar. The next {@link #summarize} takes it into account. */
