--- a/src/main/java/loadbalancer/proxy/observability/SidecarLog.java
+++ b/src/main/java/loadbalancer/proxy/observability/SidecarLog.java
@@ -77,14 +77,24 @@
     private static void writeLines() {
         try {
             while (true) {
-                String line = nextLine();
-                System.err.println(PREFIX + line);
+                writeLine(nextLine());
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
+    /** Writes a line. An error, such as a lack of memory, costs this line but must not end the log. */
+    private static void writeLine(String line) {
+        try {
+            System.err.println(PREFIX + line);
+        } catch (RuntimeException | Error e) {
+            synchronized (LOCK) {
+                droppedLines++;
+            }
+        }
+    }
+
     /** Marks the previous line as written, then blocks until there is another line and returns that line. */
     private static String nextLine() throws InterruptedException {
         synchronized (LOCK) {
--- a/src/test/java/loadbalancer/proxy/observability/SidecarLogTest.java
+++ b/src/test/java/loadbalancer/proxy/observability/SidecarLogTest.java
@@ -76,6 +76,37 @@
         }
     }
 
+    /** An error while a line is written must not end the log of a process that goes on to serve. */
+    @Test
+    void continuesAfterErrorInWriter() throws Exception {
+        PrintStream originalErr = System.err;
+        ByteArrayOutputStream written = new ByteArrayOutputStream();
+        PrintStream failingOnce = new PrintStream(written, true) {
+            private boolean failed;
+
+            @Override
+            public void println(String line) {
+                if (!failed) {
+                    failed = true;
+                    throw new OutOfMemoryError("test");
+                }
+                super.println(line);
+            }
+        };
+        System.setErr(failingOnce);
+        try {
+            SidecarLog.info(MARKER + "fails");
+            SidecarLog.flush();
+            SidecarLog.info(MARKER + "follows");
+            SidecarLog.flush();
+        } finally {
+            System.setErr(originalErr);
+        }
+        String log = written.toString(StandardCharsets.UTF_8);
+        assertTrue(log.contains(MARKER + "follows"), log);
+        assertTrue(log.contains("log_lines_dropped count=1"), log);
+    }
+
     @Test
     void quotesValueWithoutInnerQuotesAndLineBreaks() {
         assertEquals("\"a 'b' c d\"", SidecarLog.quote("a \"b\" c\nd"));
