--- a/src/main/java/loadbalancer/proxy/configuration/SidecarConfigurationReader.java
+++ b/src/main/java/loadbalancer/proxy/configuration/SidecarConfigurationReader.java
@@ -40,6 +40,8 @@
 
     private static final String DEFAULT_NAME = "sidecar";
     private static final int DEFAULT_DESCRIPTOR_LIMIT = 1024;
+    /** A higher limit makes no difference, because no process opens that many descriptors. */
+    private static final int MAX_DESCRIPTOR_LIMIT = 1 << 24;
 
     private final JsonObject file;
     private final Map<String, String> environment;
@@ -124,7 +126,8 @@
         if (!file.has(LIMITS)) {
             return DEFAULT_DESCRIPTOR_LIMIT;
         }
-        return (int) file.object(LIMITS).integerOr(DESCRIPTOR_LIMIT, DEFAULT_DESCRIPTOR_LIMIT);
+        long limit = file.object(LIMITS).integerOr(DESCRIPTOR_LIMIT, DEFAULT_DESCRIPTOR_LIMIT);
+        return (int) Math.max(0, Math.min(MAX_DESCRIPTOR_LIMIT, limit));
     }
 
     private EndpointList initialEndpoints() {
--- a/src/test/java/loadbalancer/proxy/configuration/SidecarConfigurationReaderTest.java
+++ b/src/test/java/loadbalancer/proxy/configuration/SidecarConfigurationReaderTest.java
@@ -45,6 +45,20 @@
         assertEquals(null, configuration.gossipBroadcastAddress());
     }
 
+    /** The number must not wrap around to a small or negative one. */
+    @Test
+    void limitsDescriptorLimitToPlausibleRange() throws Exception {
+        for (String number : List.of("2147483648", "4294967296", "9007199254740993")) {
+            SidecarConfiguration configuration = SidecarConfigurationReader.read(
+                    environment(REQUIRED_FIELDS + ",\"limits\":{\"sockets\":" + number + "}"));
+            assertEquals(1 << 24, configuration.descriptorLimit(), number);
+        }
+        assertEquals(
+                0,
+                SidecarConfigurationReader.read(environment(REQUIRED_FIELDS + ",\"limits\":{\"sockets\":-5000000000}"))
+                        .descriptorLimit());
+    }
+
     @Test
     void readsAllFields() throws Exception {
         SidecarConfiguration configuration = SidecarConfigurationReader.read(environment(REQUIRED_FIELDS
