--- a/src/main/java/loadbalancer/proxy/gossip/GossipTransport.java
+++ b/src/main/java/loadbalancer/proxy/gossip/GossipTransport.java
@@ -35,8 +35,11 @@
     private List<InetSocketAddress> peers;
     /** The address that reaches all peers; null if none is configured. */
     private InetSocketAddress broadcastAddress;
-    /** Null until {@link #listen} has bound the socket; no datagram is sent before. */
-    private Channel channel;
+    /**
+     * Null until {@link #listen} has bound the socket; no datagram is sent before. Written by the thread that starts
+     * the sidecar.
+     */
+    private volatile Channel channel;
 
     /**
      * Creates a transport that sends and receives no datagrams until {@link #listen} is called.
