--- a/src/test/java/loadbalancer/proxy/upstream/AttemptOutcomeTest.java
+++ b/src/test/java/loadbalancer/proxy/upstream/AttemptOutcomeTest.java
@@ -222,6 +222,29 @@
         }
     }
 
+    /** A late response to a cancelled attempt must not be mistaken for that to another one. */
+    @Test
+    void closesConnectionOfCancelledAttempt() throws Exception {
+        try (SidecarFixture fixture = startFixture((request, connection) -> {});
+                StubServer.Client client = fixture.client();
+                StubServer.Client other = fixture.client()) {
+            StubServer server = fixture.endpointServers.get(0);
+            fixture.onRequest = (nowMicros, request, actions) -> {
+                if (request.id().equals("a1")) {
+                    actions.sendAttempt("a1", "u0", 0);
+                } else {
+                    actions.cancelAttempt("a1", 0);
+                    actions.fail(request.id());
+                }
+            };
+            client.send(SidecarFixture.idempotentRequest("a1", 20_000));
+            assertEquals("a1", server.nextRequest().header("X-Txn"));
+            other.send(SidecarFixture.idempotentRequest("a2", 20_000));
+            assertEquals("outcome a1 0 CANCELLED false -", fixture.awaitEvent("outcome"));
+            assertEquals(-1, server.acceptedSockets.take().getInputStream().read(), "the connection was left open");
+        }
+    }
+
     /**
      * Neither Netty nor the pool may send a request twice. If a reused connection turns out to be closed, the call must
      * end as a reset.
