--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
@@ -200,8 +200,13 @@
     }
 
     private void handleResponse(Call call, FullHttpResponse response) {
+        if (!response.decoderResult().isSuccess()) {
+            String error = SidecarLog.quote(response.decoderResult().cause());
+            fail(call, CallFailure.MALFORMED_RESPONSE, "error=" + error);
+            return;
+        }
         int status = response.status().code();
-        if (status != HttpResponseStatus.OK.code() || !response.decoderResult().isSuccess()) {
+        if (status != HttpResponseStatus.OK.code()) {
             fail(call, CallFailure.UNEXPECTED_STATUS, "status=" + status);
             return;
         }
--- a/src/test/java/loadbalancer/proxy/discovery/DiscoveryWatchTest.java
+++ b/src/test/java/loadbalancer/proxy/discovery/DiscoveryWatchTest.java
@@ -176,10 +176,11 @@
                 respond("503 Down", "", ""),
                 (request, connection) -> connection.reset(),
                 (request, connection) -> connection.write("HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\n\r\n"),
+                (request, connection) -> connection.write("no http\r\n\r\n"),
                 delta(43, READY)))) {
             fixture.start();
             fixture.awaitEvent("list CACHED");
-            for (int i = 0; i < 3; i++) {
+            for (int i = 0; i < 4; i++) {
                 assertEquals("list FAILED ", fixture.awaitEvent("list"));
                 assertTrue(fixture.discovery.nextRequest().path().contains("?index=41&wait="));
             }
