Keep watching discovery after a socket could not be opened

A call now closes only a channel that is registered. watchesDiscoveryAfterSocketsCouldNotBeOpened, a real process whose sockets fail in 30 % of the calls for 3 s, waited without end before and passes three times of three now. UpstreamConnector never closes the placeholder (read).

--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
@@ -77,7 +77,10 @@
 
         void abandon() {
             timer.cancel(false);
-            connection.close();
+            // If no socket could be opened, Netty's placeholder for the channel throws an exception when it is closed.
+            if (connection.isRegistered()) {
+                connection.close();
+            }
         }
     }
 
