Go on watching discovery after an exception in the handling of a list

The handling is isolated now and logged as task_failed. watchesOnAfterListenerThrowsException failed before with 'no request was received'.

--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import loadbalancer.decision.Endpoint;
 import loadbalancer.decision.EndpointListType;
+import loadbalancer.proxy.eventloop.FaultIsolation;
 import loadbalancer.proxy.eventloop.LoadBalancerExecutor;
 import loadbalancer.proxy.eventloop.MonotonicClock;
 import loadbalancer.proxy.observability.SidecarLog;
@@ -166,11 +167,15 @@
     private void applyList(EndpointList received) {
         recordSuccess();
         cursor.advanceTo(received);
-        EndpointList list = startTimes.toMonotonic(received);
+        // Whatever fails here, the watch has to go on.
+        FaultIsolation.run("endpoint_list", () -> pass(startTimes.toMonotonic(received)));
+        scheduleNextCall();
+    }
+
+    private void pass(EndpointList list) {
         log.listApplied(clock.nowMicros(), list);
         listener.onEndpointList(list);
         notifyLoadBalancer(list);
-        scheduleNextCall();
     }
 
     private void recordSuccess() {
--- a/src/test/java/loadbalancer/proxy/discovery/DiscoveryWatchTest.java
+++ b/src/test/java/loadbalancer/proxy/discovery/DiscoveryWatchTest.java
@@ -12,6 +12,11 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import loadbalancer.proxy.eventloop.EventLoopMonitor;
+import loadbalancer.proxy.eventloop.LoadBalancerExecutor;
+import loadbalancer.proxy.eventloop.MonotonicClock;
+import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
+import loadbalancer.proxy.protocol.EndpointList;
 import loadbalancer.proxy.testing.SidecarFixture;
 import loadbalancer.proxy.testing.StubServer;
 import org.junit.jupiter.api.Test;
@@ -378,6 +383,34 @@
                 <= 3_000);
     }
 
+    /** A fault in the handling of one list must not leave the sidecar without the next ones. */
+    @Test
+    void watchesOnAfterListenerThrowsException() throws Exception {
+        ReadTrackingEventLoop eventLoop = new ReadTrackingEventLoop(new MonotonicClock());
+        try (StubServer discovery = new StubServer(fullSnapshot(42, READY))) {
+            DiscoveryWatch watch = new DiscoveryWatch(
+                    eventLoop.nettyEventLoop(),
+                    eventLoop.clock(),
+                    new LoadBalancerExecutor(eventLoop.clock(), new EventLoopMonitor(eventLoop.clock())),
+                    new EndpointStartTimes(eventLoop.clock()::nowMicros, () -> 0),
+                    list -> {
+                        throw new IllegalStateException("test");
+                    },
+                    new DiscoveryWatch.Options(
+                            EndpointList.parseAddress(discovery.address()),
+                            41,
+                            DiscoveryMode.PUSHED,
+                            HOUR_LONG_TIMEOUTS),
+                    DiscoveryWatch.defaultBackoff());
+            eventLoop.nettyEventLoop().execute(watch::start);
+            for (int index : new int[] {41, 42, 42}) {
+                assertTrue(discovery.nextRequest().path().contains("index=" + index));
+            }
+        } finally {
+            eventLoop.shutDown();
+        }
+    }
+
     /** The list in the configuration may be outdated, so the sidecar is not ready before the first call has ended. */
     @Test
     void becomesReadyAfterFirstResponse() throws Exception {
