Repeat a failed read of the configuration file for a second

The read is repeated up to ten times, 0.1 s apart, at the start too. readsFileThatCannotBeReadAtFirst failed before with 'names a file that can't be read'.

--- a/src/main/java/loadbalancer/proxy/configuration/SidecarConfigurationReader.java
+++ b/src/main/java/loadbalancer/proxy/configuration/SidecarConfigurationReader.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.locks.LockSupport;
 import loadbalancer.input.InvalidSettingsException;
 import loadbalancer.input.SettingsReader;
 import loadbalancer.proxy.protocol.EndpointList;
@@ -38,6 +39,9 @@
     private static final String INITIAL_ENDPOINTS = "known";
     private static final String SETTINGS = "settings";
 
+    private static final int MAX_READ_ATTEMPTS = 11;
+    private static final long READ_RETRY_DELAY_NANOS = 100_000_000;
+
     private static final String DEFAULT_NAME = "sidecar";
     private static final int DEFAULT_DESCRIPTOR_LIMIT = 1024;
     /** A higher limit makes no difference, because no process opens that many descriptors. */
@@ -91,12 +95,27 @@
                     FILE_VARIABLE + " is not set: it must be the path of the configuration file");
         }
         try {
-            return Files.readAllBytes(Path.of(path));
+            return readRepeatedly(Path.of(path));
         } catch (IOException | InvalidPathException e) {
             throw new ConfigurationException(FILE_VARIABLE + " names a file that can't be read: " + e);
         }
     }
 
+    /**
+     * Reads a file. Repeats a failed read for a second: a file system may fail for a moment, and a reload that is
+     * rejected for that would leave the sidecar at a discovery service that is about to end.
+     */
+    private static byte[] readRepeatedly(Path path) throws IOException {
+        for (int attempt = 1; attempt < MAX_READ_ATTEMPTS; attempt++) {
+            try {
+                return Files.readAllBytes(path);
+            } catch (IOException e) {
+                LockSupport.parkNanos(READ_RETRY_DELAY_NANOS);
+            }
+        }
+        return Files.readAllBytes(path);
+    }
+
     private SidecarConfiguration readConfiguration() {
         Map<String, String> flattenedSettings = file.object(SETTINGS).flattened();
         LoadBalancerSettings settings = new SettingsReader(flattenedSettings).read();
--- a/src/test/java/loadbalancer/proxy/configuration/SidecarConfigurationReaderTest.java
+++ b/src/test/java/loadbalancer/proxy/configuration/SidecarConfigurationReaderTest.java
@@ -4,12 +4,16 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import loadbalancer.proxy.testing.SidecarFixture;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -45,6 +49,27 @@
         assertEquals(null, configuration.gossipBroadcastAddress());
     }
 
+    /** A file that can't be read for a moment must not make a reload without an effect. */
+    @Test
+    void readsFileThatCannotBeReadAtFirst() throws Exception {
+        Map<String, String> environment = environment(REQUIRED_FIELDS);
+        Path file = Path.of(environment.get("BALANCER_CONFIG"));
+        Path hidden = folder.resolve("hidden");
+        Files.move(file, hidden);
+        CompletableFuture<Path> restored = CompletableFuture.supplyAsync(
+                () -> move(hidden, file), CompletableFuture.delayedExecutor(300, TimeUnit.MILLISECONDS));
+        assertEquals(255, SidecarConfigurationReader.read(environment).seed());
+        restored.get();
+    }
+
+    private static Path move(Path from, Path to) {
+        try {
+            return Files.move(from, to);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     /** The number must not wrap around to a small or negative one. */
     @Test
     void limitsDescriptorLimitToPlausibleRange() throws Exception {
