--- a/src/test/java/loadbalancer/soak/HistoryCheckerTest.java
+++ b/src/test/java/loadbalancer/soak/HistoryCheckerTest.java
@@ -281,6 +281,21 @@
         assertRules(Rule.DRAIN);
     }
 
+    /** The first continue signal ends both stops. */
+    @Test
+    void countsOverlappingStopsOnce() {
+        long limit = 20 * SECOND + 300_000;
+        for (long tooLate : new long[] {0, 1}) {
+            change("e0", ListedState.GONE, 2, 20 * SECOND);
+            processEvent(ProcessEventType.STOP_SENT, 20 * SECOND, 0);
+            processEvent(ProcessEventType.STOP_SENT, 20 * SECOND + 350_000, 0);
+            processEvent(ProcessEventType.CONTINUE_SENT, 20 * SECOND + 400_000, 0);
+            processEvent(ProcessEventType.CONTINUE_SENT, 20 * SECOND + 900_000, 0);
+            callOfOther("a", "e0", 0, limit + 400_000 + tooLate);
+            assertRules(tooLate > 0 ? new Rule[] {Rule.DRAIN} : new Rule[0]);
+        }
+    }
+
     private void stop(long atMicros, long lengthMicros) {
         processEvent(ProcessEventType.STOP_SENT, atMicros, 0);
         processEvent(ProcessEventType.CONTINUE_SENT, atMicros + lengthMicros, 0);
