Bound the slow start test by the rule and its slack instead of twice the cores

The rule gives 28, and half of N + 2 x root of N + 2 is 36.5; the sidecar sends 36 (with the bound of 28 the test failed with that number).

--- a/src/test/java/loadbalancer/decision/SlowStartBudgetTest.java
+++ b/src/test/java/loadbalancer/decision/SlowStartBudgetTest.java
@@ -54,9 +54,11 @@
                 fixture.advanceMicros(1_000).outcome("r" + i, 0, "a", AttemptOutcome.OK, 10_000);
             }
         }
-        // Each request takes 10 ms. In 1.1 s the budget is 3 times the capacity, which is at most 0.17 of the cores;
-        // this sidecar gets half of the budget. The bound allows for two cores, though the estimate is one core.
-        assertTrue(sent >= 1 && sent * 10_000 <= 3 * 0.17 * 2 * 1_100_000 / 2, "requests sent: " + sent);
+        // Each request takes 10 ms. In 1.1 s the budget is 3 times the capacity, which is at most 0.17 of the one core
+        // that is assumed, plus the slack of the rule for N requests, 2 roots of N and 2. This sidecar gets half of it.
+        double budgetRequests = 3 * 0.17 * 1_100_000 / 10_000;
+        double allowedRequests = budgetRequests + 2 * Math.sqrt(budgetRequests) + 2;
+        assertTrue(sent >= 1 && sent <= allowedRequests / 2, "requests sent: " + sent);
     }
 
     /**
