Don't divide by zero where the settings have no overload window

A slot now lasts at least 1 us, so that the endpoint is used when it is warm. handlesRequestsWithoutOverloadWindow failed before with '/ by zero'. The other values out of range stay open.

--- a/src/main/java/loadbalancer/decision/SlowStartBudget.java
+++ b/src/main/java/loadbalancer/decision/SlowStartBudget.java
@@ -98,8 +98,9 @@
         return Math.max(0, nowMicros - endpoint.listEntry().startedMicros()) / slotMicros();
     }
 
+    /** Returns the length of a slot, at least 1 even if the settings have no overload window. */
     private long slotMicros() {
-        return settings.rules().overloadWindowMicros() / 2;
+        return Math.max(1, settings.rules().overloadWindowMicros() / 2);
     }
 
     /** Returns the number of requests of mean work that all sidecars together may send in the slot. */
--- a/src/test/java/loadbalancer/decision/PolicyFixture.java
+++ b/src/test/java/loadbalancer/decision/PolicyFixture.java
@@ -65,6 +65,7 @@
     double crossZonePrice;
     boolean polledDiscovery;
     long pollIntervalMicros = 10_000_000;
+    long overloadWindowMicros = 1_000_000;
     long seed = 7;
     LoadReporting loadReporting = LoadReporting.INLINE;
     List<Tenant> tenants = List.of();
@@ -102,7 +103,14 @@
                 new RequestLimits(
                         maxAttempts, hedging, true, healthChecks, gossip, true, 1_000_000, 15_000_000, 250_000, 0),
                 new EndpointRules(
-                        500_000, 0.13, 24_000_000, 3, 1_000_000, pollIntervalMicros, 5_000, closeOnDrainMicros),
+                        500_000,
+                        0.13,
+                        24_000_000,
+                        3,
+                        overloadWindowMicros,
+                        pollIntervalMicros,
+                        5_000,
+                        closeOnDrainMicros),
                 loadReporting,
                 polledDiscovery,
                 false,
--- a/src/test/java/loadbalancer/decision/SlowStartBudgetTest.java
+++ b/src/test/java/loadbalancer/decision/SlowStartBudgetTest.java
@@ -1,6 +1,7 @@
 package loadbalancer.decision;
 
 import static loadbalancer.decision.PolicyFixture.SWEEP_TIMER;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -61,6 +62,18 @@
         assertTrue(sent >= 1 && sent <= allowedRequests / 2, "requests sent: " + sent);
     }
 
+    /** A start accepts such settings. Requests must still get a final response, and the endpoint is used when warm. */
+    @Test
+    void handlesRequestsWithoutOverloadWindow() {
+        PolicyFixture fixture = new PolicyFixture();
+        fixture.overloadWindowMicros = 0;
+        fixture.start();
+        fixture.receiveFullSnapshot(new Endpoint("a", "za", "k", 1, fixture.nowMicros, 1, EndpointState.READY));
+        fixture.advanceMicros(10_000).request("cold").expire("cold");
+        fixture.advanceMicros(24_000_000).request("warm");
+        assertEquals("a", fixture.endpointOf("warm", 0));
+    }
+
     /**
      * Hundreds of sidecars with traffic learn of the endpoint at the same time and receive no gossip. Together they
      * must use the endpoint and stay within the budget in every window.
