--- a/src/main/java/loadbalancer/soak/ClientStandIn.java
+++ b/src/main/java/loadbalancer/soak/ClientStandIn.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
@@ -195,7 +196,7 @@
                 .connect(address)
                 .addListener(connected -> {
                     if (connected.isSuccess()) {
-                        onConnected.accept(((io.netty.channel.ChannelFuture) connected).channel());
+                        onConnected.accept(((ChannelFuture) connected).channel());
                     }
                 });
     }
--- a/src/main/java/loadbalancer/soak/EndpointStandIn.java
+++ b/src/main/java/loadbalancer/soak/EndpointStandIn.java
@@ -1,6 +1,7 @@
 package loadbalancer.soak;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
@@ -242,7 +243,7 @@
         }
     }
 
-    private io.netty.channel.ChannelFuture write(Call call, Channel channel, String response) {
+    private ChannelFuture write(Call call, Channel channel, String response) {
         end(call);
         return channel.writeAndFlush(RawHttp.bytes(response));
     }
--- a/src/main/java/loadbalancer/soak/FaultInjector.java
+++ b/src/main/java/loadbalancer/soak/FaultInjector.java
@@ -1,6 +1,7 @@
 package loadbalancer.soak;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -78,7 +79,7 @@
                         TimeUnit.MICROSECONDS);
             }
         } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
+            throw new UncheckedIOException(e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/loadbalancer/soak/FaultSoakCommand.java
+++ b/src/main/java/loadbalancer/soak/FaultSoakCommand.java
@@ -1,6 +1,5 @@
 package loadbalancer.soak;
 
-import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -10,6 +9,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
@@ -24,7 +24,7 @@
     private static final int EXIT_RULE_BROKEN = 1;
 
     @Spec
-    private picocli.CommandLine.Model.CommandSpec spec;
+    private CommandSpec spec;
 
     @Option(
             names = "--seeds",
@@ -66,7 +66,7 @@
             return print(runs);
         } finally {
             executor.shutdownNow();
-            delete(folder);
+            SoakRun.deleteFolder(folder);
         }
     }
 
@@ -98,13 +98,4 @@
             throw new ParameterException(spec.commandLine(), "--seeds must be a number or a range, as in 1-50");
         }
     }
-
-    private static void delete(Path folder) throws IOException {
-        try (var files = Files.list(folder)) {
-            for (Path file : files.toList()) {
-                Files.deleteIfExists(file);
-            }
-        }
-        Files.deleteIfExists(folder);
-    }
 }
--- a/src/main/java/loadbalancer/soak/History.java
+++ b/src/main/java/loadbalancer/soak/History.java
@@ -116,6 +116,14 @@
     /** A time for which the event loop of the run was late, so that what it recorded may have happened earlier. */
     record MeasurementLag(long fromMicros, long untilMicros) {}
 
+    /**
+     * A time in which the event loop thread of a process was ready to run but got no processor, by the kernel's
+     * account.
+     *
+     * @param waitedMicros for how long of that time it waited
+     */
+    record ProcessorWait(int process, long fromMicros, long untilMicros, long waitedMicros) {}
+
     /** A line of a sidecar's log that tells of a fault of the program. */
     record FaultLine(int process, String line) {}
 
@@ -131,6 +139,7 @@
     final List<StalledClient> stalledClients = new ArrayList<>();
     final List<ResourceSample> resourceSamples = new ArrayList<>();
     final List<MeasurementLag> measurementLags = new ArrayList<>();
+    final List<ProcessorWait> processorWaits = new ArrayList<>();
     final List<FaultLine> faultLines = new ArrayList<>();
     /** The body of each complete successful response that an endpoint has written, which contains the request id. */
     final Set<String> endpointBodies = new HashSet<>();
--- a/src/main/java/loadbalancer/soak/HistoryIndex.java
+++ b/src/main/java/loadbalancer/soak/HistoryIndex.java
@@ -9,6 +9,7 @@
 import loadbalancer.soak.History.MeasurementLag;
 import loadbalancer.soak.History.ProcessEvent;
 import loadbalancer.soak.History.ProcessEventType;
+import loadbalancer.soak.History.ProcessorWait;
 
 /** Lookups in a complete {@link History}. Immutable. */
 final class HistoryIndex {
@@ -20,9 +21,11 @@
     private final Map<String, List<EndpointCall>> callsByRequest = new HashMap<>();
     private final Map<Integer, List<ProcessEvent>> eventsByProcess = new HashMap<>();
     private final List<MeasurementLag> measurementLags;
+    private final List<ProcessorWait> processorWaits;
 
     HistoryIndex(History history) {
         measurementLags = history.measurementLags;
+        processorWaits = history.processorWaits;
         for (EndpointCall call : history.endpointCalls) {
             callsByRequest
                     .computeIfAbsent(call.requestId(), unused -> new ArrayList<>())
@@ -69,11 +72,15 @@
     }
 
     /**
-     * Returns for how long between two times the process was stopped by signals or the record is inaccurate. Counts
-     * only stops beyond {@link #TOLERATED_STOP_MICROS}, each in full.
+     * Returns for how long between two times the process was stopped by signals, got no processor, or the record is
+     * inaccurate. Counts only stops beyond {@link #TOLERATED_STOP_MICROS}, each in full.
      */
     long stoppedMicros(int process, long fromMicros, long untilMicros) {
         long stoppedMicros = 0;
+        for (ProcessorWait wait : processorWaits) {
+            boolean overlaps = wait.fromMicros() <= untilMicros && wait.untilMicros() >= fromMicros;
+            stoppedMicros += overlaps && wait.process() == process ? wait.waitedMicros() : 0;
+        }
         for (MeasurementLag lag : measurementLags) {
             boolean overlaps = lag.fromMicros() <= untilMicros && lag.untilMicros() >= fromMicros;
             stoppedMicros += overlaps ? lag.untilMicros() - lag.fromMicros() : 0;
--- a/src/main/java/loadbalancer/soak/LinkHandler.java
+++ b/src/main/java/loadbalancer/soak/LinkHandler.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.util.AttributeKey;
 import io.netty.util.ReferenceCountUtil;
+import java.nio.channels.ClosedChannelException;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
 
@@ -49,7 +50,7 @@
         for (HeldData data : held) {
             ReferenceCountUtil.release(data.message());
             if (data.promise() != null) {
-                data.promise().tryFailure(new java.nio.channels.ClosedChannelException());
+                data.promise().tryFailure(new ClosedChannelException());
             }
         }
         held.clear();
--- a/src/main/java/loadbalancer/soak/SoakReport.java
+++ b/src/main/java/loadbalancer/soak/SoakReport.java
@@ -29,7 +29,7 @@
                         TreeMap::new,
                         Collectors.counting()));
         return ("seed %d: %d sidecars, %d endpoints, %d faults, outcomes %s, latency p50 %d ms p99 %d ms,"
-                        + " %d lags of the record, %d violations")
+                        + " %d lags of the record, %d waits for a processor, %d violations")
                 .formatted(
                         result.seed(),
                         result.settings().sidecarCount(),
@@ -39,6 +39,7 @@
                         result.latencyMicros().getValueAtPercentile(50) / 1_000,
                         result.latencyMicros().getValueAtPercentile(99) / 1_000,
                         result.history().measurementLags.size(),
+                        result.history().processorWaits.size(),
                         result.violations().size());
     }
 
--- a/src/main/java/loadbalancer/soak/SoakRun.java
+++ b/src/main/java/loadbalancer/soak/SoakRun.java
@@ -18,6 +18,7 @@
     private static final long READY_TIMEOUT_MILLIS = 30_000;
     private static final long POLL_INTERVAL_MILLIS = 20;
     private static final long SAMPLE_INTERVAL_MILLIS = 500;
+    private static final long WAIT_SAMPLE_INTERVAL_MILLIS = 50;
     private static final long FINAL_WAIT_MILLIS = 700;
     private static final int FAULT_THREADS = 6;
 
@@ -53,6 +54,7 @@
         SoakWorld world = new SoakWorld(context, folder, shim);
         context.loop().submit(() -> LagMeter.start(context)).sync();
         try {
+            measureProcessorWaits(context, world, executor);
             for (int sidecar = 0; sidecar < settings.sidecarCount(); sidecar++) {
                 world.start(sidecar);
             }
@@ -74,6 +76,15 @@
         return result;
     }
 
+    private static void measureProcessorWaits(SoakContext context, SoakWorld world, ScheduledExecutorService executor) {
+        ProcessorWaitMeter meter = new ProcessorWaitMeter(context);
+        executor.scheduleWithFixedDelay(
+                () -> meter.sample(world.sidecars()),
+                WAIT_SAMPLE_INTERVAL_MILLIS,
+                WAIT_SAMPLE_INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
     private void injectFaults(
             List<Fault> faults, SoakContext context, SoakWorld world, ScheduledExecutorService executor)
             throws InterruptedException {
@@ -114,7 +125,8 @@
         }
     }
 
-    private static void deleteFolder(Path folder) throws IOException {
+    /** Deletes a folder and the files in it. */
+    static void deleteFolder(Path folder) throws IOException {
         try (var files = Files.list(folder)) {
             for (Path file : files.toList()) {
                 Files.deleteIfExists(file);
--- a/src/test/java/loadbalancer/proxy/lifecycle/DescriptorLimitTest.java
+++ b/src/test/java/loadbalancer/proxy/lifecycle/DescriptorLimitTest.java
@@ -71,6 +71,18 @@
         }
     }
 
+    /** Starts a sidecar that allows 20 client connections, and leaves requests whose id begins with "held" open. */
+    private static void startWithTwentyClientConnections(SidecarFixture fixture) throws Exception {
+        // Allows 32 connections, of which 20 may be client connections.
+        fixture.descriptorLimit = 80;
+        fixture.onRequest = (nowMicros, request, actions) -> {
+            if (!request.id().startsWith("held")) {
+                actions.fail(request.id());
+            }
+        };
+        fixture.start();
+    }
+
     /**
      * At the maximum number of connections, the one that has been idle for the longest time is closed long before its
      * idle timeout. Otherwise a new client would have to wait for that.
@@ -78,14 +90,7 @@
     @Test
     void evictsLongestIdleConnectionForNewClient() throws Exception {
         try (SidecarFixture fixture = new SidecarFixture()) {
-            // Allows 32 connections, of which 20 may be client connections.
-            fixture.descriptorLimit = 80;
-            fixture.onRequest = (nowMicros, request, actions) -> {
-                if (!request.id().startsWith("held")) {
-                    actions.fail(request.id());
-                }
-            };
-            fixture.start();
+            startWithTwentyClientConnections(fixture);
             List<StubServer.Client> clients = new ArrayList<>();
             try {
                 for (String id : List.of("idle-first", "idle-second")) {
@@ -116,14 +121,7 @@
     @Test
     void deductsTimeInBacklogFromRemainingTime() throws Exception {
         try (SidecarFixture fixture = new SidecarFixture()) {
-            // Allows 32 connections, of which 20 may be client connections.
-            fixture.descriptorLimit = 80;
-            fixture.onRequest = (nowMicros, request, actions) -> {
-                if (!request.id().startsWith("held")) {
-                    actions.fail(request.id());
-                }
-            };
-            fixture.start();
+            startWithTwentyClientConnections(fixture);
             List<StubServer.Client> busyClients = new ArrayList<>();
             try {
                 for (int i = 0; i < 20; i++) {
--- a/src/test/java/loadbalancer/soak/HistoryCheckerTest.java
+++ b/src/test/java/loadbalancer/soak/HistoryCheckerTest.java
@@ -281,6 +281,22 @@
         assertRules(Rule.DRAIN);
     }
 
+    /** By the kernel's account, the process could not run; another process has no excuse for that. */
+    @Test
+    void extendsLimitsByWaitsForProcessor() {
+        long limit = 20 * SECOND + 300_000;
+        for (long tooLate : new long[] {0, 1}) {
+            change("e0", ListedState.GONE, 2, 20 * SECOND);
+            history.processorWaits.add(
+                    new History.ProcessorWait(PROCESS, 20 * SECOND + 50_000, 20 * SECOND + 100_000, 40_000));
+            history.processorWaits.add(
+                    new History.ProcessorWait(PROCESS + 1, 20 * SECOND + 50_000, 20 * SECOND + 100_000, 40_000));
+            history.processorWaits.add(new History.ProcessorWait(PROCESS, 18 * SECOND, 19 * SECOND, 40_000));
+            callOfOther("a", "e0", 0, limit + 40_000 + tooLate);
+            assertRules(tooLate > 0 ? new Rule[] {Rule.DRAIN} : new Rule[0]);
+        }
+    }
+
     /** The first continue signal ends both stops. */
     @Test
     void countsOverlappingStopsOnce() {
