--- a/src/main/java/loadbalancer/proxy/client/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/client/RequestDispatcher.java
@@ -292,7 +292,7 @@
         RequestExchange exchange = exchanges.get(requestId);
         if (exchange != null && !exchange.isCompleted()) {
             statistics.requestRejected(exchange.request().requestClassName());
-            log.rejected(clock.nowMicros(), exchange, upstreamPool.readyEndpointCount());
+            log.rejected(clock.nowMicros(), exchange, upstreamPool);
             complete(exchange);
             exchange.responseHandler().onRejected(retryAfterMicros);
         }
--- a/src/main/java/loadbalancer/proxy/client/RequestLog.java
+++ b/src/main/java/loadbalancer/proxy/client/RequestLog.java
@@ -4,6 +4,7 @@
 import loadbalancer.proxy.observability.LogRateLimit;
 import loadbalancer.proxy.observability.SidecarLog;
 import loadbalancer.proxy.upstream.UpstreamCall;
+import loadbalancer.proxy.upstream.UpstreamConnectionPool;
 
 /**
  * Logs why requests are retried, rejected or failed, with what is known about their attempts. The lines of each event
@@ -41,10 +42,10 @@
     }
 
     /** Logs a rejection. If there were no attempts, it is due to the expected load or to the lack of an endpoint. */
-    void rejected(long nowMicros, RequestExchange exchange, int readyEndpoints) {
+    void rejected(long nowMicros, RequestExchange exchange, UpstreamConnectionPool upstreamPool) {
         if (rejections.allowsLine(nowMicros)) {
-            SidecarLog.info("request_rejected ready_endpoints=" + readyEndpoints + " " + describe(nowMicros, exchange)
-                    + rejections.suppressedLines());
+            SidecarLog.info("request_rejected ready_endpoints=" + upstreamPool.readyEndpointCount() + " "
+                    + describe(nowMicros, exchange) + rejections.suppressedLines());
         }
     }
 
