review: case 2 needs fewer clients, which write in small pieces

160 bad clients on a sidecar with 384 descriptors send 60,000 of 65,536 body bytes, then 30 pieces of 100 bytes 50 ms apart, and stay. Each piece keeps a read buffer of up to 64 KiB, the 40 MB of direct memory are used up, and the event loop waits half a second for each read. A client of the stand-ins that has waited in vain closes its connection now, and a sidecar ends with the program that started it.

--- a/review/2/HalfRequestsCase.java
+++ b/review/2/HalfRequestsCase.java
@@ -8,23 +8,24 @@
 import java.util.concurrent.ScheduledExecutorService;
 
 /**
- * One sidecar with the most descriptors that the pages allow, under ordinary load. Many bad clients connect; each sends
- * the head and most of the body of a request and stays. The requests of the other clients must still get their answers.
+ * One sidecar under ordinary load. Many bad clients connect; each sends the head and most of the body of a long request,
+ * the last part of it in small pieces, stops and stays. The requests of the other clients must still get their answers.
  */
 final class HalfRequestsCase {
-    /** The pages allow 256 to 1,024. */
-    private static final int DESCRIPTORS = 1_024;
-
+    private static final int DESCRIPTORS = 384;
     private static final int CHECK_SERVERS = 8;
     private static final double REQUESTS_PER_SECOND = 60;
-    private static final int SECONDS = 16;
+    private static final int SECONDS = 30;
     private static final int SECONDS_BEFORE_BAD_CLIENTS = 5;
     /** Less than half of the descriptors. Each comes once. */
-    private static final int BAD_CLIENTS = 480;
+    private static final int BAD_CLIENTS = 160;
     /** A body may hold 64 KiB. */
     private static final int ANNOUNCED_BODY_BYTES = 64 * 1024;
 
-    private static final int SENT_BODY_BYTES = 60_000;
+    private static final int FIRST_PIECE_BYTES = 60_000;
+    private static final int SMALL_PIECES = 30;
+    private static final int SMALL_PIECE_BYTES = 100;
+    private static final int SMALL_PIECE_INTERVAL_MILLIS = 50;
     private static final int BAD_CLIENT_STAYS_MILLIS = 8_000;
     /** A later answer comes too late for its client and counts as lost. */
     private static final double ANSWER_SLACK_MILLIS = 500;
@@ -66,8 +67,13 @@
                 + number + "\r\nContent-Length: " + ANNOUNCED_BODY_BYTES + "\r\n\r\n";
         try (Socket socket = new Socket("127.0.0.1", port)) {
             double connectedSeconds = recorder.nowSeconds();
+            socket.setTcpNoDelay(true);
             socket.setSoTimeout(BAD_CLIENT_STAYS_MILLIS);
-            socket.getOutputStream().write((head + "x".repeat(SENT_BODY_BYTES)).getBytes(StandardCharsets.ISO_8859_1));
+            send(socket, head + "x".repeat(FIRST_PIECE_BYTES));
+            for (int i = 0; i < SMALL_PIECES; i++) {
+                Daemons.sleepMillis(SMALL_PIECE_INTERVAL_MILLIS);
+                send(socket, "x".repeat(SMALL_PIECE_BYTES));
+            }
             recorder.add("bad client %d has sent a part of a request", number);
             int first = socket.getInputStream().read();
             recorder.add(
@@ -76,6 +82,10 @@
         }
     }
 
+    private static void send(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
     /** Returns the requests that were written whole on an accepted connection and got no answer in time. */
     private static List<String> lostRequests(Client client, Recorder recorder) {
         List<String> violations = new ArrayList<>();
--- a/review/standins/Client.java
+++ b/review/standins/Client.java
@@ -136,6 +136,8 @@
             return new Result(
                     requestId, answer.status(), answer.body(), remainingMillis, sentSeconds, tookMillis, "answered");
         } catch (SocketTimeoutException e) {
+            // The client has waited long enough and goes away.
+            closeQuietly(socket);
             double tookMillis = (recorder.nowSeconds() - sentSeconds) * 1e3;
             return new Result(requestId, 0, "", remainingMillis, sentSeconds, tookMillis, "silent");
         } catch (IOException e) {
@@ -143,6 +145,15 @@
         }
     }
 
+    private static void closeQuietly(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // The socket is of no further use either way.
+            return;
+        }
+    }
+
     private void rest(Socket socket, HttpReader.Message answer) throws IOException {
         if (answer.header("Connection").equalsIgnoreCase("close")) {
             socket.close();
--- a/review/standins/Sidecar.java
+++ b/review/standins/Sidecar.java
@@ -100,6 +100,9 @@
         builder.environment().put("BALANCER_CONFIG", configuration().toString());
         builder.environment().put("TMPDIR", folder.toString());
         process = builder.redirectErrorStream(true).redirectOutput(log).start();
+        // The sidecar must not outlive this program, however it ends.
+        Process started = process;
+        Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
         recorder.announce("sidecar %s started pid=%d", name, process.pid());
         awaitReady();
         recorder.announce("sidecar %s ready", name);
