review: a script that cannot run exits with 2

A missing build, an error in the stand-ins or a run in which nothing was served now ends with 2 instead of 1 or 0. The checks are unchanged.

--- a/review/2/HalfRequestsCase.java
+++ b/review/2/HalfRequestsCase.java
@@ -104,6 +104,9 @@
             }
         }
         recorder.announce("requests=%d served=%d", client.results.size(), served);
+        if (served == 0) {
+            throw new IllegalStateException("no request was served");
+        }
         return violations;
     }
 }
--- a/review/standins/CaseRun.java
+++ b/review/standins/CaseRun.java
@@ -36,7 +36,7 @@
             recorder.announce("rule broken %d times", violations.size());
             exitCode = violations.isEmpty() ? RULE_HELD : RULE_BROKEN;
             delete(folder);
-        } catch (Exception e) {
+        } catch (Exception | Error e) {
             recorder.announce("the case could not run: %s", e);
         }
         try {
