Report the memory of unfinished requests and the direct memory in the log

What was missing: the log names an allocation that failed, but not what holds the memory, so it can't tell these hypotheses apart: (1) the bad clients' bytes themselves exceed the direct memory, (2) the bytes are few but each piece keeps the buffer it was read into, (3) the responses or upstream connections hold the memory, (4) the allocator keeps unused chunks. Change: each client connection has an account of what its unfinished requests hold; `totals` shows the sum, its maximum and its limit, derived from heap, direct memory and `memory_mb`. `direct_memory_near_limit` is written as soon as three quarters of the direct memory are used, because the periodic line comes too late on a loop that stands still. Nothing is enforced yet.

--- a/src/main/java/loadbalancer/proxy/client/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientConnection.java
@@ -18,6 +18,8 @@
 import loadbalancer.proxy.client.ConnectionCloseLog.Reason;
 import loadbalancer.proxy.eventloop.MonotonicClock;
 import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
+import loadbalancer.proxy.memory.MemoryAccount;
+import loadbalancer.proxy.memory.PeerGroup;
 import loadbalancer.proxy.observability.SidecarLog;
 import loadbalancer.proxy.protocol.HeaderValues;
 
@@ -50,7 +52,10 @@
     private final SidecarHttpServer server;
     private final ConnectionActivity activity;
     private final PipelinedRequests pipelinedRequests = new PipelinedRequests();
+    private final MemoryAccount memoryAccount;
     private State state = State.AWAITING_REQUEST;
+    /** How many bytes were read since the last read that ended with a complete request. */
+    private long partialRequestBytes;
     /** The dispatched request that has no response yet; null if there is none. */
     private RequestExchange currentExchange;
     /** Whether the server counts this connection as idle (kept open between two requests). */
@@ -76,6 +81,7 @@
         this.exchangeFactory = exchangeFactory;
         this.server = server;
         activity = new ConnectionActivity(clock.nowMicros(), maxBacklogWaitMicros);
+        memoryAccount = server.messageMemory().openAccount(PeerGroup.CLIENTS, () -> {});
     }
 
     void addHandlers() {
@@ -93,13 +99,21 @@
         return inputError == null && state != State.CLOSING;
     }
 
-    void bytesReceived() {
+    void bytesReceived(int byteCount) {
         activity.bytesReceived(clock.nowMicros());
+        partialRequestBytes += byteCount;
     }
 
     /** Records whether part of a request is left after the received bytes have been decoded. */
     void bytesDecoded(boolean partialRequest) {
         activity.bytesDecoded(partialRequest);
+        partialRequestBytes = partialRequest ? partialRequestBytes : 0;
+        updateMemoryAccount();
+    }
+
+    private void updateMemoryAccount() {
+        long reclaimableBytes = partialRequestBytes + pipelinedRequests.sizeBytes();
+        memoryAccount.update(reclaimableBytes, reclaimableBytes);
     }
 
     @Override
@@ -323,6 +337,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        memoryAccount.close();
         stopCountingAsIdle();
         pipelinedRequests.clear();
         if (currentExchange != null) {
--- a/src/main/java/loadbalancer/proxy/client/PipelinedRequests.java
+++ b/src/main/java/loadbalancer/proxy/client/PipelinedRequests.java
@@ -36,6 +36,10 @@
         return requests.isEmpty();
     }
 
+    int sizeBytes() {
+        return sizeBytes;
+    }
+
     boolean exceedsLimit() {
         return sizeBytes > MAX_BYTES;
     }
--- a/src/main/java/loadbalancer/proxy/client/ReceivedBytesHandler.java
+++ b/src/main/java/loadbalancer/proxy/client/ReceivedBytesHandler.java
@@ -1,5 +1,6 @@
 package loadbalancer.proxy.client;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.ReferenceCountUtil;
@@ -24,7 +25,7 @@
             ReferenceCountUtil.release(bytes);
             return;
         }
-        connection.bytesReceived();
+        connection.bytesReceived(((ByteBuf) bytes).readableBytes());
         context.fireChannelRead(bytes);
         connection.bytesDecoded(decoder.hasPartialRequest());
     }
--- a/src/main/java/loadbalancer/proxy/client/SidecarHttpServer.java
+++ b/src/main/java/loadbalancer/proxy/client/SidecarHttpServer.java
@@ -6,6 +6,7 @@
 import java.util.function.BooleanSupplier;
 import loadbalancer.proxy.eventloop.MonotonicClock;
 import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
+import loadbalancer.proxy.memory.MessageMemory;
 import loadbalancer.proxy.observability.TrafficStatistics;
 import loadbalancer.settings.RequestClass;
 
@@ -24,6 +25,7 @@
     private final BooleanSupplier discoveryConsulted;
     private final ConnectionLimits limits;
     private final TrafficStatistics statistics;
+    private final MessageMemory messageMemory;
     private final ClientConnections connections;
     private final ConnectionCloseLog closeLog = new ConnectionCloseLog();
     private final ClientListener listener;
@@ -41,7 +43,8 @@
             List<RequestClass> requestClasses,
             BooleanSupplier discoveryConsulted,
             ConnectionLimits limits,
-            TrafficStatistics statistics) {
+            TrafficStatistics statistics,
+            MessageMemory messageMemory) {
         this.eventLoop = eventLoop;
         clock = eventLoop.clock();
         this.dispatcher = dispatcher;
@@ -49,6 +52,7 @@
         this.discoveryConsulted = discoveryConsulted;
         this.limits = limits;
         this.statistics = statistics;
+        this.messageMemory = messageMemory;
         connections = new ClientConnections(limits);
         listener = new ClientListener(eventLoop, this::connectionAccepted);
         shutdown = new GracefulShutdown(eventLoop, listener, connections, this.requestClasses);
@@ -98,6 +102,10 @@
         }
     }
 
+    MessageMemory messageMemory() {
+        return messageMemory;
+    }
+
     ConnectionCloseLog closeLog() {
         return closeLog;
     }
--- a/src/main/java/loadbalancer/proxy/configuration/SidecarConfiguration.java
+++ b/src/main/java/loadbalancer/proxy/configuration/SidecarConfiguration.java
@@ -15,6 +15,7 @@
  * @param discoveryAddress the address of the discovery service, which sends the endpoint list
  * @param seed the seed of the load balancer's random choices
  * @param descriptorLimit the maximum number of file descriptors that the process may have open
+ * @param memoryLimitBytes the memory limit of the process; {@link Long#MAX_VALUE} if there is none
  * @param gossipListenAddress the address that receives datagrams from other sidecars; null without gossip
  * @param gossipPeers the addresses of all sidecars, in the order of their indexes; empty without gossip
  * @param gossipBroadcastAddress the address that reaches all sidecars; null if there is none
@@ -28,6 +29,7 @@
         InetSocketAddress discoveryAddress,
         long seed,
         int descriptorLimit,
+        long memoryLimitBytes,
         InetSocketAddress gossipListenAddress,
         List<InetSocketAddress> gossipPeers,
         InetSocketAddress gossipBroadcastAddress,
@@ -63,6 +65,7 @@
                 warmUpDiscoveryAddress,
                 seed,
                 descriptorLimit,
+                memoryLimitBytes,
                 null,
                 List.of(),
                 null,
--- a/src/main/java/loadbalancer/proxy/configuration/SidecarConfigurationReader.java
+++ b/src/main/java/loadbalancer/proxy/configuration/SidecarConfigurationReader.java
@@ -33,6 +33,7 @@
     private static final String SEED = "seed";
     private static final String LIMITS = "limits";
     private static final String DESCRIPTOR_LIMIT = "sockets";
+    private static final String MEMORY_LIMIT_MEGABYTES = "memory_mb";
     private static final String GOSSIP_LISTEN_ADDRESS = "peer_listen";
     private static final String GOSSIP_PEERS = "peers";
     private static final String GOSSIP_BROADCAST_ADDRESS = "peers_all";
@@ -47,6 +48,12 @@
     /** A higher limit makes no difference, because no process opens that many descriptors. */
     private static final int MAX_DESCRIPTOR_LIMIT = 1 << 24;
 
+    private static final long NO_MEMORY_LIMIT_MEGABYTES = 0;
+    /** A higher limit makes no difference, because no machine has that much memory. */
+    private static final long MAX_MEMORY_LIMIT_MEGABYTES = 1L << 32;
+
+    private static final long BYTES_PER_MEGABYTE = 1L << 20;
+
     private final JsonObject file;
     private final Map<String, String> environment;
 
@@ -125,6 +132,7 @@
                 address(DISCOVERY_VARIABLE, DISCOVERY_ADDRESS),
                 seed(),
                 descriptorLimit(),
+                memoryLimitBytes(),
                 addressOrNull(GOSSIP_LISTEN_ADDRESS),
                 gossipPeers(),
                 addressOrNull(GOSSIP_BROADCAST_ADDRESS),
@@ -149,6 +157,13 @@
         return (int) Math.max(0, Math.min(MAX_DESCRIPTOR_LIMIT, limit));
     }
 
+    private long memoryLimitBytes() {
+        long megabytes = file.has(LIMITS)
+                ? file.object(LIMITS).integerOr(MEMORY_LIMIT_MEGABYTES, NO_MEMORY_LIMIT_MEGABYTES)
+                : NO_MEMORY_LIMIT_MEGABYTES;
+        return megabytes <= 0 ? Long.MAX_VALUE : Math.min(MAX_MEMORY_LIMIT_MEGABYTES, megabytes) * BYTES_PER_MEGABYTE;
+    }
+
     private EndpointList initialEndpoints() {
         try {
             return EndpointList.parse(file.object(INITIAL_ENDPOINTS));
--- a/src/main/java/loadbalancer/proxy/lifecycle/MaintenanceTask.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/MaintenanceTask.java
@@ -7,6 +7,9 @@
 import loadbalancer.proxy.eventloop.FaultIsolation;
 import loadbalancer.proxy.eventloop.MonotonicClock;
 import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
+import loadbalancer.proxy.memory.DirectMemory;
+import loadbalancer.proxy.memory.MessageMemory;
+import loadbalancer.proxy.observability.LogRateLimit;
 import loadbalancer.proxy.observability.SidecarLog;
 import loadbalancer.proxy.observability.TrafficStatistics;
 import loadbalancer.proxy.upstream.UpstreamConnectionPool;
@@ -24,9 +27,11 @@
     private final MonotonicClock clock;
     private final EventLoopMonitor monitor;
     private final TrafficStatistics statistics;
+    private final MessageMemory messageMemory;
     private final SidecarHttpServer httpServer;
     private final RequestDispatcher dispatcher;
     private final UpstreamConnectionPool upstreamPool;
+    private final LogRateLimit memoryNearLimitLog = new LogRateLimit(1);
     private long previousRunMicros;
     private long runs;
 
@@ -34,6 +39,7 @@
             ReadTrackingEventLoop eventLoop,
             EventLoopMonitor monitor,
             TrafficStatistics statistics,
+            MessageMemory messageMemory,
             SidecarHttpServer httpServer,
             RequestDispatcher dispatcher,
             UpstreamConnectionPool upstreamPool) {
@@ -41,6 +47,7 @@
         clock = eventLoop.clock();
         this.monitor = monitor;
         this.statistics = statistics;
+        this.messageMemory = messageMemory;
         this.httpServer = httpServer;
         this.dispatcher = dispatcher;
         this.upstreamPool = upstreamPool;
@@ -63,6 +70,7 @@
         recordLag(nowMicros - previousRunMicros - INTERVAL_MILLIS * 1000);
         httpServer.closeTimedOutConnections();
         monitor.recordFinishedTask("stalled_connection_sweep", nowMicros);
+        logMemoryNearLimit(nowMicros);
         if (++runs % RUNS_PER_TOTALS_LINE == 0) {
             logTotals();
         }
@@ -78,12 +86,19 @@
         }
     }
 
+    private void logMemoryNearLimit(long nowMicros) {
+        if (DirectMemory.isNearLimit() && memoryNearLimitLog.allowsLine(nowMicros)) {
+            SidecarLog.info("direct_memory_near_limit" + DirectMemory.describe() + messageMemory.describe()
+                    + memoryNearLimitLog.suppressedLines());
+        }
+    }
+
     private void logTotals() {
         long startMicros = clock.nowMicros();
         String totals = statistics.summarizeAndReset(
                 dispatcher.openRequestCount(), httpServer.openConnectionCount(), upstreamPool.openConnectionCount());
         if (totals != null) {
-            SidecarLog.info(totals);
+            SidecarLog.info(totals + messageMemory.summarizeAndReset() + DirectMemory.describe());
             monitor.resetBaseline();
         }
         monitor.recordFinishedTask("totals", startMicros);
--- a/src/main/java/loadbalancer/proxy/lifecycle/Sidecar.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/Sidecar.java
@@ -20,6 +20,8 @@
 import loadbalancer.proxy.eventloop.MonotonicClock;
 import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
 import loadbalancer.proxy.gossip.GossipTransport;
+import loadbalancer.proxy.memory.MemoryLimits;
+import loadbalancer.proxy.memory.MessageMemory;
 import loadbalancer.proxy.observability.SidecarLog;
 import loadbalancer.proxy.observability.TrafficStatistics;
 import loadbalancer.proxy.protocol.EndpointList;
@@ -47,6 +49,7 @@
     private final EventLoop nettyEventLoop;
     private final DescriptorBudget descriptorBudget;
     private final TrafficStatistics statistics = new TrafficStatistics();
+    private final MessageMemory messageMemory;
     private final LoadBalancerExecutor loadBalancerExecutor;
     private final UpstreamConnectionPool upstreamPool;
     private final RequestDispatcher dispatcher;
@@ -85,6 +88,8 @@
         clock = eventLoop.clock();
         nettyEventLoop = eventLoop.nettyEventLoop();
         descriptorBudget = DescriptorBudget.of(configuration.descriptorLimit());
+        messageMemory =
+                new MessageMemory(MemoryLimits.ofThisProcess(configuration.memoryLimitBytes()), clock::nowMicros);
         EventLoopMonitor monitor = new EventLoopMonitor(clock);
         loadBalancerExecutor = new LoadBalancerExecutor(clock, monitor);
         upstreamPool = newUpstreamPool();
@@ -101,7 +106,8 @@
         gossip = new GossipTransport(
                 clock, loadBalancerExecutor, configuration.gossipPeers(), configuration.gossipBroadcastAddress());
         httpServer = newHttpServer();
-        maintenance = new MaintenanceTask(eventLoop, monitor, statistics, httpServer, dispatcher, upstreamPool);
+        maintenance = new MaintenanceTask(
+                eventLoop, monitor, statistics, messageMemory, httpServer, dispatcher, upstreamPool);
     }
 
     private static long unixMicros() {
@@ -146,7 +152,8 @@
                         descriptorBudget.maxClientConnections(),
                         descriptorBudget.maxIdleClientConnections(),
                         this::hasDescriptorForClient),
-                statistics);
+                statistics,
+                messageMemory);
     }
 
     /**
