Bound the memory that unfinished messages of all peers hold together

Cause: the aggregator keeps each piece in the buffer that it was read into, of up to 64 KiB, and nothing bounds the sum for all connections. With the direct memory used up, each read blocks the event loop for half a second in the JDK's allocation, so that the timers that would free memory come too late. Evidence: 9.6 MB received, 41.7 of 41.9 MB held. Change: content is copied into one buffer of its own length (ContentAccumulator: requests, responses, lists); read buffers are 16 KiB at most. What is left is counted for each connection (partial heads, by field, and bodies, pipelined requests with their heads, requests under way, unsent responses, responses and lists in reception), and the sum is limited by heap, direct memory and memory_mb. Past the limit those that have held the most for the longest time free it: 503, a close, or a failed call. A connection whose client does not read is not served on, and closed after 4 s without progress. Why it works: the memory held follows the bytes received, their sum has a limit below what the process has, and good clients are no candidates, because they hold little for a short time.

--- a/src/main/java/loadbalancer/proxy/client/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientConnection.java
@@ -1,6 +1,5 @@
 package loadbalancer.proxy.client;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -10,7 +9,6 @@
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
@@ -18,7 +16,6 @@
 import loadbalancer.proxy.client.ConnectionCloseLog.Reason;
 import loadbalancer.proxy.eventloop.MonotonicClock;
 import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
-import loadbalancer.proxy.memory.MemoryAccount;
 import loadbalancer.proxy.memory.PeerGroup;
 import loadbalancer.proxy.observability.SidecarLog;
 import loadbalancer.proxy.protocol.HeaderValues;
@@ -35,6 +32,7 @@
     private static final String READINESS_PATH = "/health/ready";
     private static final String API_PATH = "/api";
     private static final String API_PATH_PREFIX = "/api/";
+    private static final long NO_RETRY_AFTER = 0;
 
     private enum State {
         AWAITING_REQUEST,
@@ -52,10 +50,10 @@
     private final SidecarHttpServer server;
     private final ConnectionActivity activity;
     private final PipelinedRequests pipelinedRequests = new PipelinedRequests();
-    private final MemoryAccount memoryAccount;
+    private final RequestInput input = new RequestInput(this::hasUnansweredRequest);
+    private final UnsentResponses unsentResponses;
+    private final ConnectionMemory memory;
     private State state = State.AWAITING_REQUEST;
-    /** How many bytes were read since the last read that ended with a complete request. */
-    private long partialRequestBytes;
     /** The dispatched request that has no response yet; null if there is none. */
     private RequestExchange currentExchange;
     /** Whether the server counts this connection as idle (kept open between two requests). */
@@ -81,39 +79,35 @@
         this.exchangeFactory = exchangeFactory;
         this.server = server;
         activity = new ConnectionActivity(clock.nowMicros(), maxBacklogWaitMicros);
-        memoryAccount = server.messageMemory().openAccount(PeerGroup.CLIENTS, () -> {});
+        unsentResponses = new UnsentResponses(channel, this::unsentResponsesChanged);
+        memory = new ConnectionMemory(
+                input,
+                pipelinedRequests,
+                unsentResponses,
+                server.messageMemory().openAccount(PeerGroup.CLIENTS, this::freeMemory));
     }
 
     void addHandlers() {
-        RequestDecoder decoder = new RequestDecoder();
-        channel.pipeline()
-                .addLast(
-                        new ReceivedBytesHandler(this, decoder),
-                        decoder,
-                        new HttpResponseEncoder(),
-                        new RequestAggregator(this::hasPendingResponse),
-                        this);
+        input.addHandlers(channel.pipeline(), this);
     }
 
     boolean acceptsRequests() {
         return inputError == null && state != State.CLOSING;
     }
 
-    void bytesReceived(int byteCount) {
+    void bytesReceived() {
         activity.bytesReceived(clock.nowMicros());
-        partialRequestBytes += byteCount;
     }
 
     /** Records whether part of a request is left after the received bytes have been decoded. */
     void bytesDecoded(boolean partialRequest) {
         activity.bytesDecoded(partialRequest);
-        partialRequestBytes = partialRequest ? partialRequestBytes : 0;
-        updateMemoryAccount();
     }
 
-    private void updateMemoryAccount() {
-        long reclaimableBytes = partialRequestBytes + pipelinedRequests.sizeBytes();
-        memoryAccount.update(reclaimableBytes, reclaimableBytes);
+    /** Accounts for what the connection holds now, and lets connections free memory if all hold too much. */
+    void updateMemory() {
+        memory.update();
+        server.messageMemory().enforceLimit();
     }
 
     @Override
@@ -130,7 +124,8 @@
         }
         // If the event loop is late, the bytes arrived before they were read.
         long sentMicros = activity.lastActivityMicros() - eventLoop.currentLagMicros();
-        pipelinedRequests.add(new ReceivedRequest(request, sentMicros, activity.maxRequestBacklogWaitMicros()));
+        ReceivedRequest received = new ReceivedRequest(request, sentMicros, activity.maxRequestBacklogWaitMicros());
+        pipelinedRequests.add(isReadyForNextRequest() ? received : received.withCopiedBody());
         activity.requestReceived();
         handlePipelinedRequests();
         if (pipelinedRequests.exceedsLimit()) {
@@ -161,7 +156,7 @@
     }
 
     private boolean isReadyForNextRequest() {
-        return state == State.AWAITING_REQUEST && channel.isActive();
+        return state == State.AWAITING_REQUEST && channel.isActive() && channel.isWritable();
     }
 
     private void handle(ReceivedRequest received) {
@@ -183,7 +178,9 @@
     private void route(ReceivedRequest received) {
         FullHttpRequest message = received.message();
         String path = HeaderValues.path(message.uri());
-        if (path.equals(READINESS_PATH) && message.method().equals(HttpMethod.GET)) {
+        if (received.rejected()) {
+            write(ClientResponse.rejected(NO_RETRY_AFTER), requestedReuse(message));
+        } else if (path.equals(READINESS_PATH) && message.method().equals(HttpMethod.GET)) {
             HttpResponseStatus status =
                     server.isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
             write(ClientResponse.withoutBody(status), requestedReuse(message));
@@ -195,13 +192,20 @@
     }
 
     private void dispatch(ReceivedRequest received) {
+        if (server.messageMemory().isExhausted(PeerGroup.CLIENTS)) {
+            server.messageMemory().requestRejected();
+            write(ClientResponse.rejected(NO_RETRY_AFTER), requestedReuse(received.message()));
+            return;
+        }
         try {
-            currentExchange = exchangeFactory.create(received, new ResponseWriter(requestedReuse(received.message())));
+            currentExchange = exchangeFactory.create(
+                    received, new FinalResponseWriter(this::write, requestedReuse(received.message())));
         } catch (InvalidRequestException e) {
             write(ClientResponse.withoutBody(HttpResponseStatus.BAD_REQUEST), ConnectionReuse.CLOSE);
             return;
         }
         server.requestAccepted();
+        memory.requestHandlingStarted(currentExchange.payload().sizeBytes());
         dispatcher.dispatch(currentExchange);
     }
 
@@ -209,47 +213,27 @@
         return HttpUtil.isKeepAlive(message) ? ConnectionReuse.KEEP_ALIVE : ConnectionReuse.CLOSE;
     }
 
-    /** Writes the final response to the request that is being handled. */
-    private final class ResponseWriter implements ResponseHandler {
-        private final ConnectionReuse requestedReuse;
-
-        ResponseWriter(ConnectionReuse requestedReuse) {
-            this.requestedReuse = requestedReuse;
-        }
-
-        @Override
-        public void onServed(ByteBuf body) {
-            write(ClientResponse.served(body), requestedReuse);
-        }
-
-        @Override
-        public void onRejected(long retryAfterMicros) {
-            write(ClientResponse.rejected(retryAfterMicros), requestedReuse);
-        }
-
-        @Override
-        public void onFailed() {
-            write(ClientResponse.withoutBody(HttpResponseStatus.BAD_GATEWAY), requestedReuse);
-        }
-    }
-
     /**
      * Writes a final response. Keeps the connection open only if the client requested that and the server allows it.
      */
     private void write(ClientResponse response, ConnectionReuse requestedReuse) {
         boolean keepAlive = requestedReuse == ConnectionReuse.KEEP_ALIVE && serverAllowsReuse();
         currentExchange = null;
+        memory.requestHandlingEnded();
         state = keepAlive ? State.AWAITING_REQUEST : State.CLOSING;
         activity.responseWritten(clock.nowMicros());
+        long responseBytes = response.sizeBytes();
         ChannelFuture written = channel.writeAndFlush(
                 response.toHttpResponse(keepAlive ? ConnectionReuse.KEEP_ALIVE : ConnectionReuse.CLOSE));
+        unsentResponses.add(written, responseBytes, clock.nowMicros());
+        memory.update();
         if (!keepAlive) {
             written.addListener(ChannelFutureListener.CLOSE);
             return;
         }
         countAsIdle();
         if (!pipelinedRequests.isEmpty() || inputError != null) {
-            // Run as a separate task, because this response may be written from within the handling of its request.
+            // This response may be written from within the handling of its request.
             channel.eventLoop().execute(this::handlePipelinedRequests);
         }
     }
@@ -276,11 +260,46 @@
         }
     }
 
+    private void unsentResponsesChanged() {
+        memory.update();
+    }
+
+    /** Resumes the handling of pipelined requests once the client has read the responses before them. */
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (!pipelinedRequests.isEmpty() || inputError != null) {
+            // This event may occur within the writing of a response.
+            channel.eventLoop().execute(this::handlePipelinedRequests);
+        }
+        context.fireChannelWritabilityChanged();
+    }
+
+    /**
+     * Frees what this connection holds because all connections together hold too much. A client that does not read its
+     * responses loses its connection. Otherwise requests that are complete are rejected, and so is the incomplete one.
+     */
+    private void freeMemory() {
+        if (unsentResponses.bytes() > memory.waitingRequestBytes()) {
+            memory.close();
+            close(Reason.MEMORY_LIMIT);
+            return;
+        }
+        pipelinedRequests.rejectAll();
+        rejectInput(HttpResponseStatus.SERVICE_UNAVAILABLE, Reason.MEMORY_LIMIT);
+        input.discard(channel.pipeline());
+        memory.update();
+    }
+
     /** Returns whether a request that was received completely has no response yet. */
-    boolean hasPendingResponse() {
+    private boolean hasUnansweredRequest() {
         return state == State.RESPONSE_PENDING || !pipelinedRequests.isEmpty();
     }
 
+    /** Returns whether a request that was received completely has no response yet, or one that is not sent. */
+    boolean hasPendingResponse() {
+        return hasUnansweredRequest() || unsentResponses.bytes() > 0;
+    }
+
     /** Returns whether no response is pending and no part of a further request has been read. */
     private boolean isBetweenRequests() {
         return !hasPendingResponse() && !activity.isReceivingRequest();
@@ -304,9 +323,13 @@
 
     /**
      * Responds with 408 if a request is not received completely in time, and closes the connection if it has been idle
-     * for too long. Has no effect while a response is pending.
+     * for too long. While a response is pending, only closes a connection whose client does not read.
      */
     void closeIfTimedOut(long nowMicros) {
+        if (unsentResponses.isStalled(nowMicros)) {
+            close(Reason.RESPONSE_NOT_READ);
+            return;
+        }
         if (hasPendingResponse()) {
             return;
         }
@@ -337,7 +360,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        memoryAccount.close();
+        memory.close();
         stopCountingAsIdle();
         pipelinedRequests.clear();
         if (currentExchange != null) {
--- a/src/main/java/loadbalancer/proxy/client/ClientListener.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientListener.java
@@ -1,7 +1,6 @@
 package loadbalancer.proxy.client;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -63,9 +62,7 @@
                 // connection if it follows.
                 .childOption(
                         ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator()
-                                .respectMaybeMoreData(false)
-                                .maxMessagesPerRead(MAX_READS_PER_ITERATION))
+                        eventLoop.newReadBuffers(MAX_READS_PER_ITERATION).respectMaybeMoreData(false))
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel accepted) {
--- a/src/main/java/loadbalancer/proxy/client/ClientResponse.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientResponse.java
@@ -17,6 +17,8 @@
  */
 record ClientResponse(HttpResponseStatus status, ByteBuf body, long retryAfterMicros) {
     private static final long NO_RETRY_AFTER = 0;
+    /** Estimated memory of a response without its body. */
+    private static final int OVERHEAD_BYTES = 512;
 
     static ClientResponse served(ByteBuf body) {
         return new ClientResponse(HttpResponseStatus.OK, body, NO_RETRY_AFTER);
@@ -30,6 +32,11 @@
         return new ClientResponse(status, Unpooled.EMPTY_BUFFER, NO_RETRY_AFTER);
     }
 
+    /** Returns the estimated memory of the response, in bytes. Must be called before {@link #toHttpResponse}. */
+    long sizeBytes() {
+        return OVERHEAD_BYTES + body.readableBytes();
+    }
+
     /** Creates the message to write, which owns the body from then on. */
     FullHttpResponse toHttpResponse(ConnectionReuse reuse) {
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
--- a/src/main/java/loadbalancer/proxy/client/ConnectionCloseLog.java
+++ b/src/main/java/loadbalancer/proxy/client/ConnectionCloseLog.java
@@ -16,6 +16,10 @@
         /** The input is not a valid request; the client gets an error response. */
         INVALID_INPUT("invalid_input"),
         TOO_MANY_PIPELINED_REQUESTS("too_many_pipelined_requests"),
+        /** The unfinished messages of all peers together hold too much memory. */
+        MEMORY_LIMIT("memory_limit"),
+        /** The client does not read its responses. */
+        RESPONSE_NOT_READ("response_not_read"),
         /** The maximum number of connections is reached. */
         EVICTED("evicted"),
         SHUTDOWN("shutdown");
--- a/src/main/java/loadbalancer/proxy/client/PipelinedRequests.java
+++ b/src/main/java/loadbalancer/proxy/client/PipelinedRequests.java
@@ -9,11 +9,12 @@
  */
 final class PipelinedRequests {
     /**
-     * Maximum estimated memory of the pipelined requests of one connection; well-behaved clients do not pipeline at
-     * all. A client that exceeds the limit gets an error response. The sidecar keeps reading the socket nevertheless,
-     * because otherwise it would not notice that the client disconnects.
+     * Maximum estimated memory of the pipelined requests of one connection, enough for a thousand requests without a
+     * body. A client that exceeds the limit gets an error response. The sidecar keeps reading the socket nevertheless,
+     * because otherwise it would not notice that the client disconnects. What all connections hold is limited by
+     * {@link loadbalancer.proxy.memory.MessageMemory}.
      */
-    private static final int MAX_BYTES = 4 * ProtocolConstants.MAX_REQUEST_BODY_BYTES;
+    private static final int MAX_BYTES = 32 * ProtocolConstants.MAX_REQUEST_BODY_BYTES;
 
     private final ArrayDeque<ReceivedRequest> requests = new ArrayDeque<>();
     private int sizeBytes;
@@ -36,6 +37,7 @@
         return requests.isEmpty();
     }
 
+    /** Returns the estimated memory of all requests. */
     int sizeBytes() {
         return sizeBytes;
     }
@@ -44,6 +46,14 @@
         return sizeBytes > MAX_BYTES;
     }
 
+    /** Replaces all requests by rejected ones, which hold hardly any memory, and releases their messages. */
+    void rejectAll() {
+        int count = requests.size();
+        for (int i = 0; i < count; i++) {
+            add(poll().toRejected());
+        }
+    }
+
     /** Drops all requests and releases their messages. */
     void clear() {
         for (ReceivedRequest request; (request = poll()) != null; ) {
--- a/src/main/java/loadbalancer/proxy/client/ReceivedBytesHandler.java
+++ b/src/main/java/loadbalancer/proxy/client/ReceivedBytesHandler.java
@@ -1,6 +1,5 @@
 package loadbalancer.proxy.client;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.ReferenceCountUtil;
@@ -25,8 +24,9 @@
             ReferenceCountUtil.release(bytes);
             return;
         }
-        connection.bytesReceived(((ByteBuf) bytes).readableBytes());
+        connection.bytesReceived();
         context.fireChannelRead(bytes);
         connection.bytesDecoded(decoder.hasPartialRequest());
+        connection.updateMemory();
     }
 }
--- a/src/main/java/loadbalancer/proxy/client/ReceivedRequest.java
+++ b/src/main/java/loadbalancer/proxy/client/ReceivedRequest.java
@@ -1,6 +1,9 @@
 package loadbalancer.proxy.client;
 
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
+import loadbalancer.proxy.memory.HeadMemory;
 
 /**
  * A completely received request. The holder of the record owns the message and has to release it.
@@ -8,13 +11,36 @@
  * @param sentMicros the latest time at which the client can have sent the last byte
  * @param maxBacklogWaitMicros the longest time that the request can have waited in the accept backlog; the client may
  *     have sent it that much earlier than {@code sentMicros}
+ * @param sizeBytes the estimated memory of the request
+ * @param rejected whether the request is rejected instead of being handled
  */
-record ReceivedRequest(FullHttpRequest message, long sentMicros, long maxBacklogWaitMicros) {
-    /** Estimated memory of a request without its body. */
-    private static final int OVERHEAD_BYTES = 1024;
+record ReceivedRequest(
+        FullHttpRequest message, long sentMicros, long maxBacklogWaitMicros, int sizeBytes, boolean rejected) {
+    /** Estimated memory of a rejected request, whose message has neither headers nor a body. */
+    private static final int REJECTED_BYTES = 512;
 
-    /** Returns the estimated memory of the request, in bytes. */
-    int sizeBytes() {
-        return OVERHEAD_BYTES + message.content().readableBytes();
+    ReceivedRequest(FullHttpRequest message, long sentMicros, long maxBacklogWaitMicros) {
+        this(message, sentMicros, maxBacklogWaitMicros, sizeBytes(message), false);
+    }
+
+    private static int sizeBytes(FullHttpRequest message) {
+        return (int) HeadMemory.of(message.headers())
+                + message.uri().length()
+                + message.content().readableBytes();
+    }
+
+    /** Returns the request with a body that does not keep the buffer that it was read into, which is released. */
+    ReceivedRequest withCopiedBody() {
+        FullHttpRequest copy = message.replace(Unpooled.copiedBuffer(message.content()));
+        message.release();
+        return new ReceivedRequest(copy, sentMicros, maxBacklogWaitMicros, sizeBytes, rejected);
+    }
+
+    /** Releases the message and returns a request in its place that is rejected. */
+    ReceivedRequest toRejected() {
+        FullHttpRequest empty =
+                new DefaultFullHttpRequest(message.protocolVersion(), message.method(), "", Unpooled.EMPTY_BUFFER);
+        message.release();
+        return new ReceivedRequest(empty, sentMicros, maxBacklogWaitMicros, REJECTED_BYTES, true);
     }
 }
--- a/src/main/java/loadbalancer/proxy/client/RequestExchange.java
+++ b/src/main/java/loadbalancer/proxy/client/RequestExchange.java
@@ -13,7 +13,9 @@
     private static final long MICROS_PER_MILLI = 1_000;
 
     private final Request request;
-    private final RequestPayload payload;
+    /** Null once the request is completed, because a large body would be held until its last attempt has ended. */
+    private RequestPayload payload;
+
     private final long deadlineMicros;
     private final ResponseHandler responseHandler;
     private final List<UpstreamCall> attempts = new ArrayList<>(1);
@@ -36,6 +38,7 @@
         return request.id();
     }
 
+    /** Returns what attempts send. Must not be called once the request is completed. */
     RequestPayload payload() {
         return payload;
     }
@@ -69,6 +72,7 @@
 
     void markCompleted() {
         completed = true;
+        payload = null;
     }
 
     boolean hasAttemptInFlight() {
--- a/src/main/java/loadbalancer/proxy/client/RequestPayload.java
+++ b/src/main/java/loadbalancer/proxy/client/RequestPayload.java
@@ -13,6 +13,13 @@
  */
 record RequestPayload(HttpMethod method, String uri, String idempotencyKey, byte[] body) {
     private static final long MICROS_PER_MILLI = 1_000;
+    /** Estimated memory of a request that is being handled, without its strings and its body. */
+    private static final int OVERHEAD_BYTES = 2 * 1024;
+
+    /** Returns the estimated memory of the request while it is being handled, in bytes. */
+    long sizeBytes() {
+        return OVERHEAD_BYTES + uri.length() + body.length;
+    }
 
     /**
      * Creates the message of one attempt.
--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
@@ -20,6 +20,11 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.proxy.eventloop.ClientBootstraps;
+import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
+import loadbalancer.proxy.memory.ContentAccumulator;
+import loadbalancer.proxy.memory.MemoryAccount;
+import loadbalancer.proxy.memory.MessageMemory;
+import loadbalancer.proxy.memory.PeerGroup;
 import loadbalancer.proxy.observability.SidecarLog;
 import loadbalancer.proxy.protocol.EndpointList;
 import loadbalancer.proxy.protocol.MalformedEndpointListException;
@@ -55,6 +60,7 @@
     private static final long MAX_OVERDUE_MILLIS = 6_000;
 
     private final EventLoop loop;
+    private final MessageMemory messageMemory;
     private final Bootstrap bootstrap;
     private final Listener listener;
     /** The connection that the next call reuses; null if there is none. It may have been closed by discovery. */
@@ -84,10 +90,12 @@
         }
     }
 
-    DiscoveryClient(EventLoop loop, Listener listener) {
-        this.loop = loop;
+    DiscoveryClient(ReadTrackingEventLoop eventLoop, MessageMemory messageMemory, Listener listener) {
+        loop = eventLoop.nettyEventLoop();
+        this.messageMemory = messageMemory;
         this.listener = listener;
-        bootstrap = ClientBootstraps.http(loop, CONNECT_TIMEOUT_MILLIS, MAX_RESPONSE_BYTES, ConnectionHandler::new);
+        bootstrap =
+                ClientBootstraps.http(eventLoop, CONNECT_TIMEOUT_MILLIS, MAX_RESPONSE_BYTES, ConnectionHandler::new);
     }
 
     boolean hasCallInFlight() {
@@ -242,6 +250,32 @@
 
     /** Handles the events of one connection. Data that belongs to no open call closes the connection. */
     private final class ConnectionHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final ContentAccumulator body;
+        private final MemoryAccount memoryAccount = messageMemory.openAccount(PeerGroup.DISCOVERY, this::freeMemory);
+        private Channel connection;
+
+        ConnectionHandler(ContentAccumulator body) {
+            this.body = body;
+        }
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext context) {
+            connection = context.channel();
+        }
+
+        /** Closes the connection, which fails its call, because all peers together hold too much memory. */
+        private void freeMemory() {
+            memoryAccount.close();
+            connection.close();
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            memoryAccount.update(body.heldBytes(), body.heldBytes());
+            messageMemory.enforceLimit();
+            context.fireChannelReadComplete();
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
             Call call = callOn(context.channel());
@@ -254,6 +288,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
+            memoryAccount.close();
             Call call = callOn(context.channel());
             if (call != null) {
                 fail(call, CallFailure.CONNECTION_CLOSED, "");
--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
@@ -10,6 +10,8 @@
 import loadbalancer.proxy.eventloop.FaultIsolation;
 import loadbalancer.proxy.eventloop.LoadBalancerExecutor;
 import loadbalancer.proxy.eventloop.MonotonicClock;
+import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
+import loadbalancer.proxy.memory.MessageMemory;
 import loadbalancer.proxy.observability.SidecarLog;
 import loadbalancer.proxy.protocol.EndpointList;
 
@@ -64,21 +66,22 @@
     /**
      * Creates a watch that makes no call before {@link #start} or {@link #poll} is called.
      *
-     * @param loop the event loop on which all methods of this object are called
+     * @param eventLoop the event loop on which all methods of this object are called
      * @param startTimes converts the start times in each list before the list is passed on
+     * @param messageMemory accounts for the lists that are being received
      * @param listener receives each list before the load balancer does
      * @param backoff determines the pauses after failed calls, see {@link #defaultBackoff}
      */
     public DiscoveryWatch(
-            EventLoop loop,
-            MonotonicClock clock,
+            ReadTrackingEventLoop eventLoop,
             LoadBalancerExecutor loadBalancerExecutor,
             EndpointStartTimes startTimes,
+            MessageMemory messageMemory,
             EndpointListListener listener,
             Options options,
             ExponentialBackoff backoff) {
-        this.loop = loop;
-        this.clock = clock;
+        loop = eventLoop.nettyEventLoop();
+        clock = eventLoop.clock();
         this.loadBalancerExecutor = loadBalancerExecutor;
         this.startTimes = startTimes;
         this.listener = listener;
@@ -87,7 +90,7 @@
         mode = options.mode();
         timeouts = options.timeouts();
         cursor = new EndpointListCursor(options.generation());
-        client = new DiscoveryClient(loop, new CallListener());
+        client = new DiscoveryClient(eventLoop, messageMemory, new CallListener());
     }
 
     /** Creates a backoff with random jitter, for use by one watch. */
--- a/src/main/java/loadbalancer/proxy/eventloop/ReadTrackingEventLoop.java
+++ b/src/main/java/loadbalancer/proxy/eventloop/ReadTrackingEventLoop.java
@@ -1,5 +1,6 @@
 package loadbalancer.proxy.eventloop;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.EventLoop;
 import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
@@ -73,6 +74,17 @@
         return loop;
     }
 
+    /**
+     * Creates the allocator of the buffers that the sockets of one bootstrap are read into.
+     *
+     * @param maxReadsPerIteration how often a socket is read at most in one iteration of the event loop
+     */
+    public AdaptiveRecvByteBufAllocator newReadBuffers(int maxReadsPerIteration) {
+        AdaptiveRecvByteBufAllocator buffers = new ReadBuffers();
+        buffers.maxMessagesPerRead(maxReadsPerIteration);
+        return buffers;
+    }
+
     /**
      * Ends the thread of the loop and closes all of its channels. Pending timers do not run. Does not wait until the
      * thread has ended.
--- a/src/main/java/loadbalancer/proxy/lifecycle/Sidecar.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/Sidecar.java
@@ -120,15 +120,16 @@
                 upstreamTimeouts(settings()),
                 UpstreamConnectionPool.REUSE_DELAY_MICROS,
                 () -> descriptorBudget.maxConnections() - openClientConnectionCount(),
-                statistics);
+                statistics,
+                messageMemory);
     }
 
     private DiscoveryWatch newDiscoveryWatch(WatchTimeouts watchTimeouts, ExponentialBackoff backoff) {
         return new DiscoveryWatch(
-                nettyEventLoop,
-                clock,
+                eventLoop,
                 loadBalancerExecutor,
                 startTimes,
+                messageMemory,
                 upstreamPool::updateEndpoints,
                 new DiscoveryWatch.Options(
                         configuration.discoveryAddress(),
--- a/src/main/java/loadbalancer/proxy/lifecycle/StartupWarmUp.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/StartupWarmUp.java
@@ -88,16 +88,19 @@
                 DiscoveryWatch.defaultBackoff());
         try {
             sidecar.start();
-            exchangeRequests(nettyEventLoop, sidecar.listenAddress());
+            exchangeRequests(eventLoop, sidecar.listenAddress());
         } finally {
             sidecar.shutDownNow();
         }
     }
 
-    private void exchangeRequests(EventLoop nettyEventLoop, InetSocketAddress sidecarAddress)
+    private void exchangeRequests(ReadTrackingEventLoop eventLoop, InetSocketAddress sidecarAddress)
             throws InterruptedException {
         Bootstrap bootstrap = ClientBootstraps.http(
-                nettyEventLoop, CONNECT_TIMEOUT_MILLIS, ProtocolConstants.MAX_REQUEST_BODY_BYTES, client::newHandler);
+                eventLoop,
+                CONNECT_TIMEOUT_MILLIS,
+                ProtocolConstants.MAX_REQUEST_BODY_BYTES,
+                body -> client.newHandler());
         for (int i = 0; i < CLIENT_CONNECTIONS; i++) {
             bootstrap.connect(sidecarAddress);
         }
--- a/src/main/java/loadbalancer/proxy/upstream/ResponseDecoder.java
+++ b/src/main/java/loadbalancer/proxy/upstream/ResponseDecoder.java
@@ -1,16 +1,45 @@
 package loadbalancer.proxy.upstream;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
+import java.util.List;
+import loadbalancer.proxy.memory.HeadMemory;
 import loadbalancer.proxy.protocol.StrictFraming;
 
 /** Decodes responses under the rules of {@link StrictFraming}. Used by one connection, on its event loop. */
 final class ResponseDecoder extends HttpResponseDecoder {
+    private final HeadMemory headMemory = new HeadMemory();
+
     ResponseDecoder() {
         super(StrictFraming.decoderConfig());
     }
 
+    /** Returns the memory that received but undecoded bytes hold. */
+    long undecodedBytes() {
+        return actualReadableBytes() > 0 ? internalBuffer().capacity() : 0;
+    }
+
+    /** Returns the estimated memory of the head of the response that has not been decoded completely. */
+    long headBytes() {
+        return headMemory.bytes();
+    }
+
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        headMemory.begin();
+        return super.createMessage(initialLine);
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf input, List<Object> decoded) throws Exception {
+        int startIndex = input.readerIndex();
+        super.decode(context, input, decoded);
+        headMemory.recordDecodeCall(input.readerIndex() - startIndex, decoded);
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw StrictFraming.contentLengthWithTransferEncoding();
@@ -19,6 +48,7 @@
     @Override
     protected AsciiString splitHeaderName(byte[] line, int start, int length) {
         StrictFraming.checkHeaderName(line, start, length);
+        headMemory.addField();
         return super.splitHeaderName(line, start, length);
     }
 
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnection.java
@@ -1,6 +1,7 @@
 package loadbalancer.proxy.upstream;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.PrematureChannelClosureException;
@@ -10,6 +11,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.AttributeKey;
 import java.io.IOException;
+import loadbalancer.proxy.memory.ContentAccumulator;
+import loadbalancer.proxy.memory.MemoryAccount;
+import loadbalancer.proxy.memory.MessageMemory;
+import loadbalancer.proxy.memory.PeerGroup;
 import loadbalancer.proxy.protocol.ProtocolConstants;
 
 /**
@@ -31,8 +36,13 @@
 
     private final Channel channel;
     private final ResponseDecoder decoder = new ResponseDecoder();
+    private final ContentAccumulator body = new ContentAccumulator(ProtocolConstants.MAX_RESPONSE_BODY_BYTES);
     private final ResponseAggregator aggregator = new ResponseAggregator(ProtocolConstants.MAX_RESPONSE_BODY_BYTES);
     private final ResponseStallTimer stallTimer;
+    private final MessageMemory messageMemory;
+    private final MemoryAccount memoryAccount;
+    /** The size of the request that is written but not sent completely; 0 if there is none. */
+    private long unsentRequestBytes;
     /** The call that awaits its response, or null if there is none. */
     private UpstreamCall call;
 
@@ -47,16 +57,24 @@
     private long idleSinceMicros;
     private long reusableFromMicros;
 
-    private UpstreamConnection(Channel channel, long stallTimeoutMicros) {
+    private UpstreamConnection(Channel channel, long stallTimeoutMicros, MessageMemory messageMemory) {
         this.channel = channel;
-        stallTimer = new ResponseStallTimer(stallTimeoutMicros, this::hasPartialResponse, this::failMalformed);
+        this.messageMemory = messageMemory;
+        memoryAccount = messageMemory.openAccount(PeerGroup.ENDPOINTS, this::freeMemory);
+        stallTimer = new ResponseStallTimer(stallTimeoutMicros, this::hasPartialResponse, context -> failMalformed());
     }
 
     /** Creates the connection for a new channel and adds its handlers to the pipeline. */
-    static UpstreamConnection install(Channel channel, long stallTimeoutMicros) {
-        UpstreamConnection connection = new UpstreamConnection(channel, stallTimeoutMicros);
+    static UpstreamConnection install(Channel channel, long stallTimeoutMicros, MessageMemory messageMemory) {
+        UpstreamConnection connection = new UpstreamConnection(channel, stallTimeoutMicros, messageMemory);
         channel.attr(CONNECTION_ATTRIBUTE).set(connection);
-        channel.pipeline().addLast(new HttpRequestEncoder(), connection.decoder, connection.aggregator, connection);
+        channel.pipeline()
+                .addLast(
+                        new HttpRequestEncoder(),
+                        connection.decoder,
+                        connection.body,
+                        connection.aggregator,
+                        connection);
         return connection;
     }
 
@@ -142,13 +160,39 @@
         if (response != null) {
             deliver(context);
         } else if (malformed || call == null && hasPartialResponse()) {
-            failMalformed(context);
+            failMalformed();
         } else if (hasPartialResponse()) {
             stallTimer.recordProgress(context);
         }
+        updateMemory();
+        messageMemory.enforceLimit();
         context.fireChannelReadComplete();
     }
 
+    private void updateMemory() {
+        long heldBytes = decoder.undecodedBytes() + decoder.headBytes() + body.heldBytes() + unsentRequestBytes;
+        memoryAccount.update(heldBytes, heldBytes);
+    }
+
+    /** Ends the call because the unfinished messages of all peers together hold too much memory. */
+    private void freeMemory() {
+        memoryAccount.close();
+        failMalformed();
+    }
+
+    /** Accounts for a request until {@code written} completes. */
+    void requestWritten(ChannelFuture written, long requestBytes) {
+        if (written.isDone()) {
+            return;
+        }
+        unsentRequestBytes = requestBytes;
+        updateMemory();
+        written.addListener(done -> {
+            unsentRequestBytes = 0;
+            updateMemory();
+        });
+    }
+
     private void deliver(ChannelHandlerContext context) {
         FullHttpResponse delivered = response;
         response = null;
@@ -173,9 +217,9 @@
         return detached;
     }
 
-    private void failMalformed(ChannelHandlerContext context) {
+    private void failMalformed() {
         UpstreamCall failed = detachCall();
-        context.close();
+        channel.close();
         if (failed != null) {
             failed.onMalformedResponse();
         }
@@ -183,6 +227,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        memoryAccount.close();
         if (response != null) {
             deliver(context);
         }
@@ -204,7 +249,7 @@
         } else if (cause instanceof IOException || cause instanceof PrematureChannelClosureException) {
             context.close();
         } else {
-            failMalformed(context);
+            failMalformed();
         }
     }
 }
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnectionPool.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnectionPool.java
@@ -11,6 +11,7 @@
 import loadbalancer.proxy.eventloop.FaultIsolation;
 import loadbalancer.proxy.eventloop.MonotonicClock;
 import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
+import loadbalancer.proxy.memory.MessageMemory;
 import loadbalancer.proxy.observability.TrafficStatistics;
 import loadbalancer.proxy.protocol.EndpointList;
 
@@ -56,12 +57,13 @@
             UpstreamTimeouts timeouts,
             long reuseDelayMicros,
             IntSupplier maxConnections,
-            TrafficStatistics statistics) {
+            TrafficStatistics statistics,
+            MessageMemory messageMemory) {
         this.eventLoop = eventLoop;
         this.reuseDelayMicros = reuseDelayMicros;
         nettyEventLoop = eventLoop.nettyEventLoop();
         clock = eventLoop.clock();
-        connector = new UpstreamConnector(nettyEventLoop, maxConnections, statistics);
+        connector = new UpstreamConnector(eventLoop, maxConnections, statistics, messageMemory);
         updateTimeouts(timeouts);
         nettyEventLoop.scheduleWithFixedDelay(
                 () -> FaultIsolation.run("idle_connection_sweep", this::closeUnusableConnections),
@@ -209,7 +211,10 @@
                 .set("Host", "api.internal")
                 .set("Content-Length", request.content().readableBytes());
         connection.begin(call, releaseListener);
-        connection.channel().writeAndFlush(request).addListener(written -> {
+        int requestBytes = request.content().readableBytes();
+        ChannelFuture writeFuture = connection.channel().writeAndFlush(request);
+        connection.requestWritten(writeFuture, requestBytes);
+        writeFuture.addListener(written -> {
             if (written.isSuccess()) {
                 call.onRequestWritten();
             } else {
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnector.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnector.java
@@ -3,10 +3,11 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.function.IntSupplier;
 import loadbalancer.proxy.eventloop.ClientBootstraps;
+import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
+import loadbalancer.proxy.memory.MessageMemory;
 import loadbalancer.proxy.observability.TrafficStatistics;
 
 /**
@@ -25,13 +26,17 @@
     private long stallTimeoutMicros;
     private int openConnectionCount;
 
-    UpstreamConnector(EventLoop loop, IntSupplier maxConnections, TrafficStatistics statistics) {
+    UpstreamConnector(
+            ReadTrackingEventLoop loop,
+            IntSupplier maxConnections,
+            TrafficStatistics statistics,
+            MessageMemory messageMemory) {
         this.maxConnections = maxConnections;
         this.statistics = statistics;
         bootstrap = ClientBootstraps.tcp(
                 loop,
                 INITIAL_CONNECT_TIMEOUT_MILLIS,
-                channel -> UpstreamConnection.install(channel, stallTimeoutMicros));
+                channel -> UpstreamConnection.install(channel, stallTimeoutMicros, messageMemory));
     }
 
     /** Applies new timeouts to connections that are opened from now on. */
--- a/src/test/java/loadbalancer/proxy/client/RequestDispatcherTest.java
+++ b/src/test/java/loadbalancer/proxy/client/RequestDispatcherTest.java
@@ -23,6 +23,7 @@
 import loadbalancer.proxy.protocol.JsonObject;
 import loadbalancer.proxy.testing.SidecarFixture;
 import loadbalancer.proxy.testing.StubServer;
+import loadbalancer.proxy.testing.TestMemory;
 import loadbalancer.proxy.upstream.UpstreamConnectionPool;
 import loadbalancer.proxy.upstream.UpstreamTimeouts;
 import org.junit.jupiter.api.AfterEach;
@@ -54,7 +55,8 @@
                             new UpstreamTimeouts(15_000_000, 2_000_000, 20_000),
                             0,
                             () -> 100,
-                            new TrafficStatistics());
+                            new TrafficStatistics(),
+                            TestMemory.unlimited());
                     dispatcher = new RequestDispatcher(
                             loop, clock, loadBalancerExecutor, upstreamPool, 4, new TrafficStatistics());
                 })
--- a/src/test/java/loadbalancer/proxy/discovery/DiscoveryWatchTest.java
+++ b/src/test/java/loadbalancer/proxy/discovery/DiscoveryWatchTest.java
@@ -19,6 +19,7 @@
 import loadbalancer.proxy.protocol.EndpointList;
 import loadbalancer.proxy.testing.SidecarFixture;
 import loadbalancer.proxy.testing.StubServer;
+import loadbalancer.proxy.testing.TestMemory;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -389,10 +390,10 @@
         ReadTrackingEventLoop eventLoop = new ReadTrackingEventLoop(new MonotonicClock());
         try (StubServer discovery = new StubServer(fullSnapshot(42, READY))) {
             DiscoveryWatch watch = new DiscoveryWatch(
-                    eventLoop.nettyEventLoop(),
-                    eventLoop.clock(),
+                    eventLoop,
                     new LoadBalancerExecutor(eventLoop.clock(), new EventLoopMonitor(eventLoop.clock())),
                     new EndpointStartTimes(eventLoop.clock()::nowMicros, () -> 0),
+                    TestMemory.unlimited(),
                     list -> {
                         throw new IllegalStateException("test");
                     },
--- a/src/test/java/loadbalancer/proxy/testing/SidecarProcessFixture.java
+++ b/src/test/java/loadbalancer/proxy/testing/SidecarProcessFixture.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -50,6 +51,19 @@
         process = builder.start();
     }
 
+    /** Returns the options of the Java virtual machine that the deploy file states, without the class archive. */
+    public static String[] deployedJvmOptions() throws IOException {
+        String run = Files.readString(Path.of("deploy/balancer.toml"))
+                .lines()
+                .filter(line -> line.startsWith("run = "))
+                .findFirst()
+                .orElseThrow();
+        return Arrays.stream(run.split(" "))
+                .filter(option -> option.startsWith("-X") || option.startsWith("-D"))
+                .filter(option -> !option.contains("hare"))
+                .toArray(String[]::new);
+    }
+
     /** Replaces the configuration file. The process reads it at the next {@link #sendHangUp}. */
     public void writeConfiguration(String configuration) throws IOException {
         Files.writeString(configurationFile, configuration);
--- a/src/test/java/loadbalancer/proxy/upstream/IdleConnectionsTest.java
+++ b/src/test/java/loadbalancer/proxy/upstream/IdleConnectionsTest.java
@@ -9,6 +9,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.nio.charset.StandardCharsets;
+import loadbalancer.proxy.testing.TestMemory;
 import org.junit.jupiter.api.Test;
 
 class IdleConnectionsTest {
@@ -18,7 +19,8 @@
     private final IdleConnections connections = new IdleConnections();
 
     private UpstreamConnection add(long idleSinceMicros, long reusableFromMicros) {
-        UpstreamConnection connection = UpstreamConnection.install(new EmbeddedChannel(), STALL_TIMEOUT_MICROS);
+        UpstreamConnection connection =
+                UpstreamConnection.install(new EmbeddedChannel(), STALL_TIMEOUT_MICROS, TestMemory.unlimited());
         connection.becomeIdle(idleSinceMicros, reusableFromMicros);
         connections.add(connection);
         return connection;
--- a/src/test/java/loadbalancer/proxy/upstream/UpstreamConnectionPoolTest.java
+++ b/src/test/java/loadbalancer/proxy/upstream/UpstreamConnectionPoolTest.java
@@ -20,6 +20,7 @@
 import loadbalancer.proxy.protocol.EndpointList;
 import loadbalancer.proxy.testing.SidecarFixture;
 import loadbalancer.proxy.testing.StubServer;
+import loadbalancer.proxy.testing.TestMemory;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -60,7 +61,8 @@
                         new UpstreamTimeouts(endpointIdleTimeoutMicros, 2_000_000, STALL_TIMEOUT_MICROS),
                         reuseDelayMicros,
                         () -> maxConnections,
-                        new TrafficStatistics()))
+                        new TrafficStatistics(),
+                        TestMemory.unlimited()))
                 .get();
     }
 
@@ -288,7 +290,7 @@
     void reportsConnectFailureForResponseToUnwrittenRequest() {
         for (String status : new String[] {"200 OK", "500 No"}) {
             EmbeddedChannel channel = new EmbeddedChannel();
-            UpstreamConnection.install(channel, STALL_TIMEOUT_MICROS)
+            UpstreamConnection.install(channel, STALL_TIMEOUT_MICROS, TestMemory.unlimited())
                     .begin(newCall("u"), (call, connection) -> connection.close());
             channel.writeInbound(Unpooled.copiedBuffer(
                     "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nok", StandardCharsets.US_ASCII));
