Limit the time that the event loop spends on input in one iteration

Cause: an iteration reads each socket up to 64 times 16 KiB, however long that takes to decode (about 1 us for a chunk), and handles all pipelined requests that are answered at once; timers wait for the end. A listener accepts 16 connections in an iteration, so new clients wait many of these long iterations in the backlog, before the 2 s of status 408 begin. Change: after 20 ms of reading, each further connection is read once, 2 KiB, and 64 bytes if reading it took longer than 0.5 ms within a second (ReadBudget, ReadBuffers). 32 pipelined requests are handled in a row (RequestTurns). A listener accepts as many connections as there is room for (AcceptAllocator). Why it works: the time of an iteration is bounded by the number of connections times a small read, whatever they send.

--- a/src/main/java/loadbalancer/proxy/client/AcceptBacklog.java
+++ b/src/main/java/loadbalancer/proxy/client/AcceptBacklog.java
@@ -19,8 +19,8 @@
  * {@link SidecarHttpServer#closeTimedOutConnections} resumes accepting within 100 ms.
  */
 final class AcceptBacklog extends ChannelInboundHandlerAdapter {
-    /** The maximum number of connections that Netty accepts in one read of a listener. */
-    private static final int MAX_ACCEPTS_PER_READ = 16;
+    /** A read of a listener accepts at least this number of connections if so many wait. */
+    static final int MIN_ACCEPTS_PER_READ = 16;
 
     private static final long UNSET = 0;
 
@@ -34,7 +34,7 @@
      */
     private long waitingSinceMicros = UNSET;
     /**
-     * When accepting was last resumed, or when a read last accepted {@link #MAX_ACCEPTS_PER_READ} connections;
+     * When accepting was last resumed, or when a read last accepted {@link #MIN_ACCEPTS_PER_READ} connections;
      * {@link #UNSET} while accepting is paused and before its first pause.
      */
     private long resumedMicros = UNSET;
@@ -107,7 +107,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        boolean moreMayWait = acceptedInRead >= MAX_ACCEPTS_PER_READ;
+        boolean moreMayWait = acceptedInRead >= MIN_ACCEPTS_PER_READ;
         if (moreMayWait && resumedMicros != UNSET) {
             resumedMicros = eventLoop.clock().nowMicros();
         }
--- a/src/main/java/loadbalancer/proxy/client/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientConnection.java
@@ -51,6 +51,7 @@
     private final ConnectionActivity activity;
     private final PipelinedRequests pipelinedRequests = new PipelinedRequests();
     private final RequestInput input = new RequestInput(this::hasUnansweredRequest);
+    private final RequestTurns turns;
     private final UnsentResponses unsentResponses;
     private final ConnectionMemory memory;
     private State state = State.AWAITING_REQUEST;
@@ -79,6 +80,7 @@
         this.exchangeFactory = exchangeFactory;
         this.server = server;
         activity = new ConnectionActivity(clock.nowMicros(), maxBacklogWaitMicros);
+        turns = new RequestTurns(channel.eventLoop(), this::handlePipelinedRequests);
         unsentResponses = new UnsentResponses(channel, this::unsentResponsesChanged);
         memory = new ConnectionMemory(
                 input,
@@ -133,6 +135,12 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        turns.readCompleted();
+        context.fireChannelReadComplete();
+    }
+
     /**
      * Accepts no further requests. Writes the error response after the pending responses, then closes the connection.
      * Has no effect after an earlier error.
@@ -147,6 +155,9 @@
 
     private void handlePipelinedRequests() {
         while (isReadyForNextRequest() && !pipelinedRequests.isEmpty()) {
+            if (!turns.tryTake()) {
+                return;
+            }
             handle(pipelinedRequests.poll());
         }
         if (isReadyForNextRequest() && inputError != null) {
@@ -234,7 +245,7 @@
         countAsIdle();
         if (!pipelinedRequests.isEmpty() || inputError != null) {
             // This response may be written from within the handling of its request.
-            channel.eventLoop().execute(this::handlePipelinedRequests);
+            turns.schedule();
         }
     }
 
@@ -269,7 +280,7 @@
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         if (!pipelinedRequests.isEmpty() || inputError != null) {
             // This event may occur within the writing of a response.
-            channel.eventLoop().execute(this::handlePipelinedRequests);
+            turns.schedule();
         }
         context.fireChannelWritabilityChanged();
     }
--- a/src/main/java/loadbalancer/proxy/client/ClientListener.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientListener.java
@@ -8,6 +8,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
 import loadbalancer.proxy.eventloop.SocketBinding;
 
@@ -28,13 +29,18 @@
     private AcceptBacklog backlog;
 
     private final Consumer<Channel> onAccepted;
+    private final IntSupplier freeConnections;
     private Channel channel;
     private long lastAcceptedMicros;
 
-    /** {@code onAccepted} sets up the pipeline of an accepted connection, on the event loop. */
-    ClientListener(ReadTrackingEventLoop eventLoop, Consumer<Channel> onAccepted) {
+    /**
+     * {@code onAccepted} sets up the pipeline of an accepted connection; {@code freeConnections} returns how many
+     * further connections may be accepted. Both are called on the event loop.
+     */
+    ClientListener(ReadTrackingEventLoop eventLoop, Consumer<Channel> onAccepted, IntSupplier freeConnections) {
         this.eventLoop = eventLoop;
         this.onAccepted = onAccepted;
+        this.freeConnections = freeConnections;
         backlog = new AcceptBacklog(eventLoop);
     }
 
@@ -57,6 +63,10 @@
                 .handler(backlog)
                 .option(ChannelOption.SO_BACKLOG, MAX_BACKLOG_CONNECTIONS)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new AcceptAllocator(
+                                AcceptBacklog.MIN_ACCEPTS_PER_READ, MAX_BACKLOG_CONNECTIONS, freeConnections))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 // By default, Netty stops after a read that does not fill the buffer, and does not see the end of the
                 // connection if it follows.
--- a/src/main/java/loadbalancer/proxy/client/SidecarHttpServer.java
+++ b/src/main/java/loadbalancer/proxy/client/SidecarHttpServer.java
@@ -54,7 +54,7 @@
         this.statistics = statistics;
         this.messageMemory = messageMemory;
         connections = new ClientConnections(limits);
-        listener = new ClientListener(eventLoop, this::connectionAccepted);
+        listener = new ClientListener(eventLoop, this::connectionAccepted, this::freeConnectionCount);
         shutdown = new GracefulShutdown(eventLoop, listener, connections, this.requestClasses);
         exchangeFactory =
                 new RequestExchangeFactory(eventLoop, new RequestParser(this.requestClasses), dispatcher, shutdown);
@@ -135,6 +135,11 @@
         connections.idleConnectionRemoved();
     }
 
+    private int freeConnectionCount() {
+        int belowMaximum = limits.maxConnections() - connections.size();
+        return Math.min(belowMaximum, limits.freeDescriptors().getAsInt());
+    }
+
     private void connectionAccepted(Channel channel) {
         dispatcher.failOverdueRequests();
         ClientConnection connection = new ClientConnection(
--- /dev/null
+++ b/src/main/java/loadbalancer/proxy/eventloop/ReadBudget.java
@@ -0,0 +1,49 @@
+package loadbalancer.proxy.eventloop;
+
+import java.util.function.LongSupplier;
+
+/**
+ * Limits the time that one iteration of the event loop spends on received bytes. Once the time is used up, each further
+ * connection is read only once and only a little, and the rest of its bytes waits for the next iteration. Otherwise
+ * peers that send much input that takes long to decode, such as very short chunks, could keep the loop from its timers
+ * for seconds. Confined to the event loop.
+ */
+final class ReadBudget {
+    private static final long MAX_NANOS_PER_ITERATION = 20_000_000;
+
+    private final LongSupplier clockNanos;
+    private long usedNanos;
+    private long readStartNanos;
+
+    /** {@code clockNanos} returns the time of a monotonic clock, in nanoseconds. */
+    ReadBudget(LongSupplier clockNanos) {
+        this.clockNanos = clockNanos;
+    }
+
+    void startIteration() {
+        usedNanos = 0;
+    }
+
+    /** Records that the loop begins to read one connection, and returns the time, in nanoseconds. */
+    long startReading() {
+        readStartNanos = clockNanos.getAsLong();
+        return readStartNanos;
+    }
+
+    /** Records that the loop has read one connection and handled what it has read. Returns how long that took. */
+    long finishReading() {
+        long tookNanos = clockNanos.getAsLong() - readStartNanos;
+        usedNanos += tookNanos;
+        return tookNanos;
+    }
+
+    /** Returns whether the time of this iteration was used up when the loop began to read the present connection. */
+    boolean wasUsedUpBefore() {
+        return usedNanos >= MAX_NANOS_PER_ITERATION;
+    }
+
+    /** Returns whether the time of this iteration is used up now. */
+    boolean isUsedUp() {
+        return usedNanos + clockNanos.getAsLong() - readStartNanos >= MAX_NANOS_PER_ITERATION;
+    }
+}
--- a/src/main/java/loadbalancer/proxy/eventloop/ReadTrackingEventLoop.java
+++ b/src/main/java/loadbalancer/proxy/eventloop/ReadTrackingEventLoop.java
@@ -46,6 +46,7 @@
     private final MonotonicClock clock;
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
+    private final ReadBudget readBudget = new ReadBudget(System::nanoTime);
     private final ArrayDeque<Runnable> pendingAttemptStarts = new ArrayDeque<>();
     private boolean attemptStartsScheduled;
     private int postponements;
@@ -75,12 +76,13 @@
     }
 
     /**
-     * Creates the allocator of the buffers that the sockets of one bootstrap are read into.
+     * Creates the allocator of the buffers that the sockets of one bootstrap are read into. Each socket of the event
+     * loop has to use such an allocator, because it limits the time that the loop spends on reading.
      *
      * @param maxReadsPerIteration how often a socket is read at most in one iteration of the event loop
      */
     public AdaptiveRecvByteBufAllocator newReadBuffers(int maxReadsPerIteration) {
-        AdaptiveRecvByteBufAllocator buffers = new ReadBuffers();
+        AdaptiveRecvByteBufAllocator buffers = new ReadBuffers(readBudget);
         buffers.maxMessagesPerRead(maxReadsPerIteration);
         return buffers;
     }
@@ -177,6 +179,7 @@
         public int run(IoHandlerContext context) {
             long startMicros = clock.nowMicros();
             wakeUpDeadlineNanos = context.deadlineNanos();
+            readBudget.startIteration();
             int handled = delegate.run(context);
             lastReadMicros = startMicros;
             return handled;
--- a/src/main/java/loadbalancer/proxy/lifecycle/Sidecar.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/Sidecar.java
@@ -152,6 +152,7 @@
                 new ConnectionLimits(
                         descriptorBudget.maxClientConnections(),
                         descriptorBudget.maxIdleClientConnections(),
+                        this::freeDescriptorCount,
                         this::hasDescriptorForClient),
                 statistics,
                 messageMemory);
@@ -165,13 +166,16 @@
         return httpServer.openConnectionCount();
     }
 
+    private int freeDescriptorCount() {
+        return descriptorBudget.maxConnections() - openClientConnectionCount() - upstreamPool.openConnectionCount();
+    }
+
     /**
      * Returns whether a client connection may be accepted. If no descriptor is free, closes an idle upstream connection
      * to free one.
      */
     private boolean hasDescriptorForClient() {
-        return openClientConnectionCount() + upstreamPool.openConnectionCount() < descriptorBudget.maxConnections()
-                || upstreamPool.closeOldestIdleConnection();
+        return freeDescriptorCount() > 0 || upstreamPool.closeOldestIdleConnection();
     }
 
     private static UpstreamTimeouts upstreamTimeouts(LoadBalancerSettings settings) {
--- a/src/test/java/loadbalancer/UnfinishedMessagesTest.java
+++ b/src/test/java/loadbalancer/UnfinishedMessagesTest.java
@@ -47,7 +47,11 @@
 
     /** What a bad client sends first, and then in small pieces. */
     enum Shape {
-        BODY(POST + "X-Txn: bad\r\nContent-Length: 65536\r\n\r\n" + "x".repeat(60_000), "x".repeat(100));
+        BODY(POST + "X-Txn: bad\r\nContent-Length: 65536\r\n\r\n" + "x".repeat(60_000), "x".repeat(100)),
+        /** As objects, short header fields take up many times the memory of their bytes. */
+        HEAD("GET /api HTTP/1.1\r\n" + "a:\r\n".repeat(1_800), "b:\r\n"),
+        /** Each of the many small buffers that the chunks are read into is longer than the chunk. */
+        CHUNKS(POST + "X-Txn: bad\r\nTransfer-Encoding: chunked\r\n\r\n" + "1\r\nx\r\n".repeat(10_000), "1\r\nx\r\n");
 
         final String beginning;
         final String piece;
@@ -154,7 +158,7 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"BODY,256,100", "BODY,384,160", "BODY,1024,480"})
+    @CsvSource({"BODY,256,100", "BODY,384,160", "BODY,1024,480", "HEAD,1024,480", "CHUNKS,1024,480"})
     void servesGoodClientsWhileOthersStopWithinRequests(Shape shape, int descriptorLimit, int badClientCount)
             throws Exception {
         assertDuring(Expectation.SERVED, StubServer.echoingRequestId(), descriptorLimit, address -> {
