Read whole requests also without time left, and count the time that bytes wait for it

What callers could see: after the limit on an iteration's reads, a connection that counts as costly is read 64 bytes at a time. On a starved processor an ordinary connection counts as costly, its request takes several iterations, and the time that its bytes wait in the socket is not taken off what the endpoint is told. Change: 512 bytes, enough for an ordinary request; and while reads of a connection are cut short, what is read counts as sent when that began.

--- a/src/main/java/loadbalancer/proxy/client/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientConnection.java
@@ -124,8 +124,9 @@
             rejectInput(HttpResponseStatus.BAD_REQUEST, Reason.INVALID_INPUT);
             return;
         }
-        // If the event loop is late, the bytes arrived before they were read.
-        long sentMicros = activity.lastActivityMicros() - eventLoop.currentLagMicros();
+        // If the event loop is late or cuts reads short, the bytes arrived before they were read.
+        long unreadMicros = Math.max(eventLoop.currentLagMicros(), eventLoop.maxUnreadMicros(channel));
+        long sentMicros = activity.lastActivityMicros() - unreadMicros;
         ReceivedRequest received = new ReceivedRequest(request, sentMicros, activity.maxRequestBacklogWaitMicros());
         pipelinedRequests.add(isReadyForNextRequest() ? received : received.withCopiedBody());
         activity.requestReceived();
--- a/src/main/java/loadbalancer/proxy/eventloop/ReadBudget.java
+++ b/src/main/java/loadbalancer/proxy/eventloop/ReadBudget.java
@@ -20,6 +20,10 @@
         this.clockNanos = clockNanos;
     }
 
+    long nowNanos() {
+        return clockNanos.getAsLong();
+    }
+
     void startIteration() {
         usedNanos = 0;
     }
--- a/src/main/java/loadbalancer/proxy/eventloop/ReadBuffers.java
+++ b/src/main/java/loadbalancer/proxy/eventloop/ReadBuffers.java
@@ -16,14 +16,15 @@
     private static final int MAX_BYTES = 16 * 1024;
     /** Length of a read after the budget of the iteration is used up. */
     private static final int MAX_BYTES_WITHOUT_BUDGET = 2 * 1024;
-    /** Length of such a read on a connection that has recently used up much time. */
-    private static final int MAX_BYTES_OF_COSTLY_CONNECTION = 64;
+    /** Length of such a read on a connection that has recently used up much time. An ordinary request fits in. */
+    private static final int MAX_BYTES_OF_COSTLY_CONNECTION = 512;
     /**
      * A connection is costly if reading it took longer than this within the present period. Ordinary ones need less.
      */
     private static final long COSTLY_NANOS_PER_PERIOD = 500_000;
 
     private static final long PERIOD_NANOS = 1_000_000_000;
+    private static final long NOT_BEHIND = 0;
 
     private final ReadBudget budget;
 
@@ -38,9 +39,12 @@
     }
 
     /** The state of one connection. */
-    private final class BudgetedHandle extends DelegatingHandle {
+    final class BudgetedHandle extends DelegatingHandle {
         private long periodStartNanos;
         private long usedNanosInPeriod;
+        private boolean cutShort;
+        /** Since when the reads of this connection have been cut short; {@link #NOT_BEHIND} if the last one was not. */
+        private long behindSinceNanos = NOT_BEHIND;
 
         BudgetedHandle(Handle delegate) {
             super(delegate);
@@ -49,6 +53,7 @@
         @Override
         public void reset(ChannelConfig config) {
             long nowNanos = budget.startReading();
+            cutShort = false;
             if (nowNanos - periodStartNanos > PERIOD_NANOS) {
                 periodStartNanos = nowNanos;
                 usedNanosInPeriod = 0;
@@ -71,13 +76,27 @@
 
         @Override
         public boolean continueReading() {
-            return super.continueReading() && !budget.isUsedUp();
+            boolean mayContinue = super.continueReading();
+            cutShort = mayContinue && budget.isUsedUp();
+            return mayContinue && !cutShort;
         }
 
         @Override
         public void readComplete() {
             super.readComplete();
             usedNanosInPeriod += budget.finishReading();
+            if (!cutShort) {
+                behindSinceNanos = NOT_BEHIND;
+            } else if (behindSinceNanos == NOT_BEHIND) {
+                behindSinceNanos = budget.nowNanos();
+            }
+        }
+
+        /**
+         * Returns for how long bytes of this connection may have been unread because of the budget, in microseconds.
+         */
+        long maxUnreadMicros() {
+            return behindSinceNanos == NOT_BEHIND ? 0 : (budget.nowNanos() - behindSinceNanos) / 1_000;
         }
     }
 }
--- a/src/main/java/loadbalancer/proxy/eventloop/ReadTrackingEventLoop.java
+++ b/src/main/java/loadbalancer/proxy/eventloop/ReadTrackingEventLoop.java
@@ -1,6 +1,7 @@
 package loadbalancer.proxy.eventloop;
 
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
@@ -143,6 +144,16 @@
         return lagMicros < MIN_LAG_MICROS ? 0 : lagMicros;
     }
 
+    /**
+     * Returns for how long bytes of a connection may have waited in its socket because an iteration of the loop had no
+     * time left to read them, in microseconds; 0 if its last read was complete.
+     */
+    public long maxUnreadMicros(Channel channel) {
+        return channel.unsafe().recvBufAllocHandle() instanceof ReadBuffers.BudgetedHandle handle
+                ? handle.maxUnreadMicros()
+                : 0;
+    }
+
     /** Records by how many microseconds a periodic task was late. Must be called on each run of one such task. */
     public void recordLag(long lagMicros) {
         recentLagMicros = Math.max(lagMicros, recentLagMicros - recentLagMicros / LAG_DECAY_DIVISOR);
