Make room for new clients when incomplete requests fill all connections

What callers saw: with 256 descriptors, 130 connections with incomplete requests are all that clients may have. Cause: only idle connections were evicted for a new client; one that is receiving a request never counts as idle. Change: if all connections are taken and none is idle, the request that has been incomplete for the longest time, and for 0.25 s at least, gets 503, and its connection closes. ClientConnection's idle count moves to a class of its own. Why it works: an incomplete request is not accepted yet, bad clients are owed an error anyway, and each new client frees one. Result: `rejectsLongestIncompleteRequestForNewClient` fails before (admitted after 1,925 ms) and passes; all tests pass.

--- a/src/main/java/loadbalancer/proxy/client/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientConnection.java
@@ -32,7 +32,6 @@
     private static final String READINESS_PATH = "/health/ready";
     private static final String API_PATH = "/api";
     private static final String API_PATH_PREFIX = "/api/";
-    private static final long NO_RETRY_AFTER = 0;
 
     private enum State {
         AWAITING_REQUEST,
@@ -57,8 +56,8 @@
     private State state = State.AWAITING_REQUEST;
     /** The dispatched request that has no response yet; null if there is none. */
     private RequestExchange currentExchange;
-    /** Whether the server counts this connection as idle (kept open between two requests). */
-    private boolean countedAsIdle;
+
+    private final IdleCount idleCount;
     /**
      * The status of the error response that is written after all pending responses, before closing; null while the
      * input is valid.
@@ -79,6 +78,7 @@
         this.dispatcher = dispatcher;
         this.exchangeFactory = exchangeFactory;
         this.server = server;
+        idleCount = new IdleCount(server);
         activity = new ConnectionActivity(clock.nowMicros(), maxBacklogWaitMicros);
         turns = new RequestTurns(channel.eventLoop(), this::handlePipelinedRequests);
         unsentResponses = new UnsentResponses(channel, this::unsentResponsesChanged);
@@ -174,7 +174,7 @@
     private void handle(ReceivedRequest received) {
         FullHttpRequest message = received.message();
         state = State.RESPONSE_PENDING;
-        stopCountingAsIdle();
+        idleCount.remove();
         try {
             route(received);
         } catch (RuntimeException e) {
@@ -191,7 +191,7 @@
         FullHttpRequest message = received.message();
         String path = HeaderValues.path(message.uri());
         if (received.rejected()) {
-            write(ClientResponse.rejected(NO_RETRY_AFTER), requestedReuse(message));
+            write(ClientResponse.rejected(), requestedReuse(message));
         } else if (path.equals(READINESS_PATH) && message.method().equals(HttpMethod.GET)) {
             HttpResponseStatus status =
                     server.isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
@@ -206,7 +206,7 @@
     private void dispatch(ReceivedRequest received) {
         if (server.messageMemory().isExhausted(PeerGroup.CLIENTS)) {
             server.messageMemory().requestRejected();
-            write(ClientResponse.rejected(NO_RETRY_AFTER), requestedReuse(received.message()));
+            write(ClientResponse.rejected(), requestedReuse(received.message()));
             return;
         }
         try {
@@ -243,7 +243,9 @@
             written.addListener(ChannelFutureListener.CLOSE);
             return;
         }
-        countAsIdle();
+        if (channel.isActive()) {
+            idleCount.add();
+        }
         if (!pipelinedRequests.isEmpty() || inputError != null) {
             // This response may be written from within the handling of its request.
             turns.schedule();
@@ -258,20 +260,6 @@
         return pipelinedRequests.isEmpty() ? server.mayKeepIdleConnection() : !server.isShuttingDown();
     }
 
-    private void countAsIdle() {
-        if (!countedAsIdle && channel.isActive()) {
-            countedAsIdle = true;
-            server.idleConnectionAdded();
-        }
-    }
-
-    private void stopCountingAsIdle() {
-        if (countedAsIdle) {
-            countedAsIdle = false;
-            server.idleConnectionRemoved();
-        }
-    }
-
     private void unsentResponsesChanged() {
         memory.update();
     }
@@ -333,6 +321,19 @@
         return isBetweenRequests() && inputError == null ? nowMicros - activity.lastActivityMicros() : 0;
     }
 
+    /**
+     * Returns for how long an incomplete request has been received, in microseconds; 0 if there is none or a response
+     * is pending.
+     */
+    long receivingMicros(long nowMicros) {
+        return hasPendingResponse() || inputError != null ? 0 : activity.receivingMicros(nowMicros);
+    }
+
+    /** Rejects the incomplete request, because the connection is needed for other clients. */
+    void rejectIncompleteRequest() {
+        rejectInput(HttpResponseStatus.SERVICE_UNAVAILABLE, Reason.EVICTED);
+    }
+
     /**
      * Responds with 408 if a request is not received completely in time, and closes the connection if it has been idle
      * for too long. While a response is pending, only closes a connection whose client does not read.
@@ -373,7 +374,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         memory.close();
-        stopCountingAsIdle();
+        idleCount.remove();
         pipelinedRequests.clear();
         if (currentExchange != null) {
             RequestExchange disconnected = currentExchange;
--- a/src/main/java/loadbalancer/proxy/client/ClientConnections.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientConnections.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import loadbalancer.proxy.client.ConnectionCloseLog.Reason;
 
@@ -13,6 +14,8 @@
 final class ClientConnections {
     /** How long a connection has to be idle before it is evicted. Before that, a request may still be on its way. */
     private static final long MIN_IDLE_BEFORE_EVICTION_MICROS = 50_000;
+    /** How long a request has to be incomplete before it is rejected for another client. Ordinary ones take less. */
+    private static final long MIN_RECEIVING_BEFORE_EVICTION_MICROS = 250_000;
 
     private final ConnectionLimits limits;
     private final Set<ClientConnection> connections = new HashSet<>();
@@ -63,19 +66,32 @@
     }
 
     /**
-     * Closes one connection that is between requests if the maximum number of connections is reached. Selects the one
-     * with the earliest last activity, but a connection that has never sent a request before any other.
+     * Closes one connection if the maximum number of connections is reached: one that is between requests or, if there
+     * is none, one whose request has been incomplete for the longest time. Without the latter, clients that stop within
+     * a request would keep out all others until their requests time out.
      */
-    void evictIdleConnectionIfFull(long nowMicros) {
-        if (isFull()) {
+    void evictIfFull(long nowMicros) {
+        if (isFull() && !evictIdle(nowMicros)) {
             connections.stream()
-                    .filter(connection -> connection.idleMicros(nowMicros) > MIN_IDLE_BEFORE_EVICTION_MICROS)
-                    .min(Comparator.comparing(ClientConnection::hasReceivedRequest)
-                            .thenComparing(ClientConnection::lastActivityMicros))
-                    .ifPresent(connection -> connection.close(Reason.EVICTED));
+                    .filter(connection -> connection.receivingMicros(nowMicros) > MIN_RECEIVING_BEFORE_EVICTION_MICROS)
+                    .max(Comparator.comparingLong(connection -> connection.receivingMicros(nowMicros)))
+                    .ifPresent(ClientConnection::rejectIncompleteRequest);
         }
     }
 
+    /**
+     * Closes the idle connection with the earliest last activity, but one that has never sent a request before any
+     * other. Returns false if there is none.
+     */
+    private boolean evictIdle(long nowMicros) {
+        Optional<ClientConnection> idle = connections.stream()
+                .filter(connection -> connection.idleMicros(nowMicros) > MIN_IDLE_BEFORE_EVICTION_MICROS)
+                .min(Comparator.comparing(ClientConnection::hasReceivedRequest)
+                        .thenComparing(ClientConnection::lastActivityMicros));
+        idle.ifPresent(connection -> connection.close(Reason.EVICTED));
+        return idle.isPresent();
+    }
+
     void closeTimedOut(long nowMicros) {
         // Iterates over a copy, because closing a connection removes it from the set.
         List.copyOf(connections).forEach(connection -> connection.closeIfTimedOut(nowMicros));
--- a/src/main/java/loadbalancer/proxy/client/ClientResponse.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientResponse.java
@@ -24,6 +24,10 @@
         return new ClientResponse(HttpResponseStatus.OK, body, NO_RETRY_AFTER);
     }
 
+    static ClientResponse rejected() {
+        return rejected(NO_RETRY_AFTER);
+    }
+
     static ClientResponse rejected(long retryAfterMicros) {
         return new ClientResponse(HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER, retryAfterMicros);
     }
--- a/src/main/java/loadbalancer/proxy/client/ConnectionActivity.java
+++ b/src/main/java/loadbalancer/proxy/client/ConnectionActivity.java
@@ -82,6 +82,11 @@
         return requestStartMicros != NO_INCOMPLETE_REQUEST;
     }
 
+    /** Returns how long ago the first byte of the incomplete request was read, in microseconds; 0 if there is none. */
+    long receivingMicros(long nowMicros) {
+        return isReceivingRequest() ? nowMicros - requestStartMicros : 0;
+    }
+
     /**
      * Returns the longest time, in microseconds, that the request whose last byte was just read can have waited in the
      * accept backlog together with its connection. Returns 0 unless it is the connection's first request and was read
--- a/src/main/java/loadbalancer/proxy/client/SidecarHttpServer.java
+++ b/src/main/java/loadbalancer/proxy/client/SidecarHttpServer.java
@@ -146,7 +146,7 @@
                 channel, eventLoop, dispatcher, exchangeFactory, this, listener.maxBacklogWaitMicros());
         connections.add(connection);
         statistics.clientConnectionAccepted();
-        connections.evictIdleConnectionIfFull(clock.nowMicros());
+        connections.evictIfFull(clock.nowMicros());
         updateAccepting();
         channel.closeFuture().addListener(closed -> {
             connections.remove(connection);
@@ -169,14 +169,14 @@
     /**
      * Closes connections that occupy a file descriptor without using it: those that have sent no request in time, those
      * whose request has been incomplete for too long, and those that have been idle for too long. If the maximum number
-     * of connections is still reached, also closes one connection that has been idle for a shorter time. Resumes
+     * of connections is still reached, also closes one that has been idle or incomplete for a shorter time. Resumes
      * accepting once upstream connections have released file descriptors. Called every 100 ms by the sidecar's
      * maintenance task.
      */
     public void closeTimedOutConnections() {
         long nowMicros = clock.nowMicros();
         connections.closeTimedOut(nowMicros);
-        connections.evictIdleConnectionIfFull(nowMicros);
+        connections.evictIfFull(nowMicros);
         updateAccepting();
     }
 
--- a/src/test/java/loadbalancer/proxy/lifecycle/DescriptorLimitTest.java
+++ b/src/test/java/loadbalancer/proxy/lifecycle/DescriptorLimitTest.java
@@ -117,6 +117,34 @@
         }
     }
 
+    /**
+     * Clients that stop within a request must not keep out the others until their requests time out after 2 s. The
+     * first one gets its error early and makes room.
+     */
+    @Test
+    void rejectsLongestIncompleteRequestForNewClient() throws Exception {
+        try (SidecarFixture fixture = new SidecarFixture()) {
+            startWithTwentyClientConnections(fixture);
+            List<StubServer.Client> stalledClients = new ArrayList<>();
+            try {
+                for (int i = 0; i < 20; i++) {
+                    stalledClients.add(fixture.client().send("POST /api HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf"));
+                    Thread.sleep(5);
+                }
+                long connectedNanos = System.nanoTime();
+                try (StubServer.Client client =
+                        fixture.client().send(SidecarFixture.idempotentRequest("new", 50_000))) {
+                    assertEquals(502, client.readStatus());
+                }
+                long elapsedMillis = (System.nanoTime() - connectedNanos) / 1_000_000;
+                assertTrue(elapsedMillis < 1_500, "admitted after " + elapsedMillis + " ms");
+                assertEquals(503, stalledClients.get(0).readStatus());
+            } finally {
+                closeAll(stalledClients);
+            }
+        }
+    }
+
     /** A request that waits in the backlog while accepting is paused has less time left than its header states. */
     @Test
     void deductsTimeInBacklogFromRemainingTime() throws Exception {
