fault-soak: many clients that stop within a long request, sent in pieces

Change: a fault in which 140 clients send most of a long request, the last part in small pieces, and stay. The sidecars run with the allocator options of the deploy file and know memory_mb.

--- a/src/main/java/loadbalancer/soak/ClientStandIn.java
+++ b/src/main/java/loadbalancer/soak/ClientStandIn.java
@@ -21,7 +21,6 @@
 import java.util.function.IntSupplier;
 import loadbalancer.soak.History.ClientOutcome;
 import loadbalancer.soak.History.ClientRequest;
-import loadbalancer.soak.History.StalledClient;
 import org.HdrHistogram.Histogram;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -34,6 +33,9 @@
     private static final int MAX_RESPONSE_BYTES = 1 << 20;
     private static final int MAX_CONNECTIONS = 60;
     private static final int CROWD_CONNECTIONS = 110;
+    /** With the other clients, nearly all connections that the sidecar admits. */
+    private static final int STALLED_CONNECTIONS = 140;
+
     private static final double MEAN_ARRIVAL_INTERVAL_MICROS = 18_000;
     private static final double LEAVE_PROBABILITY = 0.04;
     private static final double PIPELINE_PROBABILITY = 0.03;
@@ -43,6 +45,7 @@
     private final int sidecar;
     private final SoakContext context;
     private final UniformRandomProvider random;
+    private final StalledClientStandIn stalledClients;
     private final InetSocketAddress address;
     private final IntSupplier process;
     private final BooleanSupplier mayConnect;
@@ -53,6 +56,7 @@
     private boolean stopped;
     private int requestCount;
     private int crowd;
+    private int stalledCrowd;
 
     /**
      * @param process returns the number of the process that the sidecar runs in now
@@ -73,6 +77,7 @@
         this.mayConnect = mayConnect;
         this.latencyMicros = latencyMicros;
         random = context.random();
+        stalledClients = new StalledClientStandIn(context, process);
     }
 
     /** Begins to send, unless the clients send already or have been stopped. */
@@ -95,8 +100,11 @@
         new ArrayList<>(connections).forEach(connection -> connection.channel().close());
     }
 
-    /** Opens many connections that stay idle for some time. */
+    /** Opens many connections that stay idle for some time. Has no effect while other bad clients are connected. */
     void crowd(long durationMicros) {
+        if (stalledCrowd > 0) {
+            return;
+        }
         for (int i = 0; i < CROWD_CONNECTIONS; i++) {
             connect(channel -> {
                 crowd++;
@@ -106,6 +114,20 @@
         }
     }
 
+    /**
+     * Opens many connections whose clients stop within a long request. Has no effect while idle clients fill the
+     * descriptors, because both together would leave none.
+     */
+    void stallCrowd() {
+        for (int i = 0; i < STALLED_CONNECTIONS && crowd == 0; i++) {
+            connect(channel -> {
+                stalledCrowd++;
+                channel.closeFuture().addListener(closed -> stalledCrowd--);
+                stalledClients.sendLongBeginning(channel);
+            });
+        }
+    }
+
     private void scheduleArrival() {
         if (!sending) {
             return;
@@ -124,7 +146,7 @@
     private void arrive() {
         double drawn = random.nextDouble();
         if (drawn < STALL_PROBABILITY) {
-            stall();
+            connect(stalledClients::sendBeginning);
         } else if (drawn < STALL_PROBABILITY + PIPELINE_PROBABILITY) {
             send(newRequests(PIPELINED_REQUESTS));
         } else {
@@ -201,22 +223,6 @@
                 });
     }
 
-    private void stall() {
-        String[] beginnings = {
-            "G", "POST /api HTTP/1.1\r\nX-Txn: ", "POST /api HTTP/1.1\r\nContent-Length: 90\r\n\r\nabc", ""
-        };
-        String beginning = beginnings[random.nextInt(beginnings.length)];
-        connect(channel -> {
-            long openedMicros = context.clock().nowMicros();
-            int stalledAt = process.getAsInt();
-            channel.closeFuture().addListener(closed -> context.history()
-                    .stalledClients
-                    .add(new StalledClient(
-                            stalledAt, openedMicros, context.clock().nowMicros())));
-            channel.writeAndFlush(RawHttp.bytes(beginning));
-        });
-    }
-
     void becameIdle(ClientConnection connection) {
         idleConnections.push(connection);
     }
--- a/src/main/java/loadbalancer/soak/Fault.java
+++ b/src/main/java/loadbalancer/soak/Fault.java
@@ -48,6 +48,8 @@
         STOP_SHORT,
         STOP_LONG,
         CLIENT_CROWD,
+        /** Many clients send most of a long request in pieces, stop and stay. */
+        STALLED_CROWD,
         /** The wall clock of all machines is stepped. */
         CLOCK_STEP_ALL,
         /** The wall clock of a sidecar is stepped. */
--- a/src/main/java/loadbalancer/soak/FaultInjector.java
+++ b/src/main/java/loadbalancer/soak/FaultInjector.java
@@ -118,6 +118,7 @@
                     fault,
                     () -> world.endpoints().forEach(each -> each.setFaultProbability(BROKEN_RESPONSE_PROBABILITY)),
                     () -> world.endpoints().forEach(each -> each.setFaultProbability(0)));
+            case STALLED_CROWD -> world.client(fault.sidecar()).stallCrowd();
             case CLIENT_CROWD -> world.client(fault.sidecar()).crowd(fault.durationMicros());
             case CLOCK_STEP_ALL -> stepAllClocks(clockStep(fault));
             default -> throw new IllegalStateException("not a fault of the stand-ins: " + fault.type());
--- a/src/main/java/loadbalancer/soak/SidecarUnderTest.java
+++ b/src/main/java/loadbalancer/soak/SidecarUnderTest.java
@@ -38,7 +38,11 @@
             "-Xss512k",
             "-XX:MaxMetaspaceSize=40m",
             "-XX:ReservedCodeCacheSize=24m",
-            "-XX:MaxDirectMemorySize=40m");
+            "-XX:MaxDirectMemorySize=40m",
+            "-Dio.netty.allocator.type=pooled",
+            "-Dio.netty.allocator.numDirectArenas=1",
+            "-Dio.netty.allocator.numHeapArenas=1",
+            "-Dio.netty.allocator.maxOrder=3");
 
     private final int sidecar;
     private final SoakContext context;
--- a/src/main/java/loadbalancer/soak/SoakReport.java
+++ b/src/main/java/loadbalancer/soak/SoakReport.java
@@ -104,6 +104,12 @@
         history.discoveryTroubles.stream()
                 .filter(trouble -> trouble.untilMicros() >= from && trouble.fromMicros() <= until)
                 .forEach(trouble -> lines.add(new TimedLine(trouble.fromMicros(), trouble.toString())));
+        history.processorWaits.stream()
+                .filter(wait -> wait.untilMicros() >= from && wait.fromMicros() <= until)
+                .forEach(wait -> lines.add(new TimedLine(wait.fromMicros(), wait.toString())));
+        history.measurementLags.stream()
+                .filter(lag -> lag.untilMicros() >= from && lag.fromMicros() <= until)
+                .forEach(lag -> lines.add(new TimedLine(lag.fromMicros(), lag.toString())));
         for (SidecarUnderTest.LogLine line : result.log()) {
             boolean near = line.atMicros() >= until - LOG_BEFORE_MICROS && line.atMicros() <= until + LOG_BEFORE_MICROS;
             boolean names = !violation.requestId().isEmpty() && line.text().contains(violation.requestId());
--- a/src/main/java/loadbalancer/soak/SoakWorld.java
+++ b/src/main/java/loadbalancer/soak/SoakWorld.java
@@ -203,7 +203,8 @@
                 .getNow();
         StringJoiner peers = new StringJoiner("\",\"", "[\"", "\"]");
         hosts.forEach(host -> peers.add(LoopbackAddresses.text(host)));
-        return ("{\"name\":\"n%d\",\"listen\":\"%s\",\"discovery\":\"%s\",\"seed\":\"%x\",\"limits\":{\"sockets\":%d},"
+        return ("{\"name\":\"n%d\",\"listen\":\"%s\",\"discovery\":\"%s\",\"seed\":\"%x\","
+                        + "\"limits\":{\"sockets\":%d,\"memory_mb\":%d},"
                         + "\"peer_listen\":\"%s\",\"peers\":%s,\"known\":%s,\"settings\":%s}")
                 .formatted(
                         sidecar,
@@ -211,6 +212,7 @@
                         agents.get(sidecar).link(discoveryLinks.get(sidecar)).address(),
                         processCount.get() + 1,
                         SoakSettings.DESCRIPTOR_LIMIT,
+                        SoakSettings.MEMORY_LIMIT_BYTES >> 20,
                         LoopbackAddresses.text(hosts.get(sidecar)),
                         peers,
                         knownList,
--- a/src/test/java/loadbalancer/soak/FaultSoakTest.java
+++ b/src/test/java/loadbalancer/soak/FaultSoakTest.java
@@ -19,8 +19,9 @@
     @TempDir
     Path folder;
 
+    /** Seed 5 has clients that stop within long requests. */
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3})
+    @ValueSource(longs = {1, 2, 3, 5})
     void keepsRulesUnderFaults(long seed) throws Exception {
         FaultShim shim = FaultShim.compile(folder).orElse(null);
         SoakRun.Result result = new SoakRun(seed, LENGTH_SECONDS * 1_000_000, shim).play();
