Answer pipelined requests during a shutdown instead of dropping them

Cause: with a shutdown requested, `ClientConnection.serverAllowsReuse` closed the connection with the next response, whether or not requests were waiting behind it, and the queue was dropped with the connection. Change: while pipelined requests are waiting, the connection stays open; the last response closes it. Why it works: all that was read is answered in order, within the time that the shutdown allows for responses, and a connection with nothing waiting closes as before.

--- a/src/main/java/loadbalancer/proxy/client/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientConnection.java
@@ -253,11 +253,11 @@
     }
 
     /**
-     * Returns whether the connection may stay open after a response. If pipelined requests are waiting, only a shutdown
-     * closes it; if none is waiting, the limit on idle connections applies as well.
+     * Returns whether the connection may stay open after a response. While pipelined requests are waiting, it stays
+     * open even during a shutdown, because they were accepted and have to be answered.
      */
     private boolean serverAllowsReuse() {
-        return pipelinedRequests.isEmpty() ? server.mayKeepIdleConnection() : !server.isShuttingDown();
+        return !pipelinedRequests.isEmpty() || server.mayKeepIdleConnection();
     }
 
     private void unsentResponsesChanged() {
--- a/src/test/java/loadbalancer/proxy/lifecycle/GracefulShutdownTest.java
+++ b/src/test/java/loadbalancer/proxy/lifecycle/GracefulShutdownTest.java
@@ -31,6 +31,32 @@
         assertEquals("close", response.header("Connection"));
     }
 
+    /**
+     * Requests that were read behind the one being answered must not be dropped with the first response of a shutdown.
+     */
+    @Test
+    void answersPipelinedRequestsThatWereReadBeforeShutdown() throws Exception {
+        try (SidecarFixture fixture = new SidecarFixture()) {
+            CountDownLatch released = new CountDownLatch(1);
+            fixture.addEndpoint(echoingIdAndHolding("held", released));
+            fixture.start();
+            CountDownLatch stopped = new CountDownLatch(1);
+            try (StubServer.Client client = fixture.client()) {
+                client.send(SidecarFixture.idempotentRequest("held", 30_000)
+                        + SidecarFixture.idempotentRequest("second", 30_000)
+                        + SidecarFixture.idempotentRequest("third", 30_000));
+                fixture.awaitEvent("request held");
+                fixture.sidecar.shutDownGracefully(stopped::countDown);
+                released.countDown();
+                assertEquals("held", client.readResponse().body());
+                assertEquals("second", client.readResponse().body());
+                assertLastResponse("third", client.readResponse());
+                assertEquals(null, client.readResponse());
+            }
+            assertTrue(stopped.await(10, TimeUnit.SECONDS));
+        }
+    }
+
     @Test
     void servesNewConnectionsAndPartialRequestsDuringShutdown() throws Exception {
         try (SidecarFixture fixture = new SidecarFixture()) {
