--- a/src/test/java/loadbalancer/UnfinishedMessagesTest.java
+++ b/src/test/java/loadbalancer/UnfinishedMessagesTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -14,6 +17,7 @@
 import loadbalancer.proxy.testing.SidecarProcessFixture;
 import loadbalancer.proxy.testing.StubDiscovery;
 import loadbalancer.proxy.testing.StubServer;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -45,6 +49,11 @@
     @TempDir
     Path folder;
 
+    /** Handles the calls to discovery once the sidecar is ready; null to answer them as the platform does. */
+    private StubServer.RequestHandler discoveryWhenReady;
+    /** Fields of the configuration for gossip, each followed by a comma. */
+    private String gossipFields = "";
+
     /** What a bad client sends first, and then in small pieces. */
     enum Shape {
         BODY(POST + "X-Txn: bad\r\nContent-Length: 65536\r\n\r\n" + "x".repeat(60_000), "x".repeat(100)),
@@ -62,8 +71,8 @@
         }
     }
 
-    private static String configuration(StubServer discovery, StubServer server, int descriptorLimit) {
-        return "{\"listen\":\"127.0.0.1:0\",\"seed\":\"1\",\"discovery\":\"" + discovery.address()
+    private String configuration(StubServer discovery, StubServer server, int descriptorLimit) {
+        return "{" + gossipFields + "\"listen\":\"127.0.0.1:0\",\"seed\":\"1\",\"discovery\":\"" + discovery.address()
                 + "\",\"limits\":{\"sockets\":" + descriptorLimit + ",\"memory_mb\":" + MEMORY_LIMIT_MEGABYTES
                 + "},\"known\":"
                 + SidecarFixture.endpointListJson(
@@ -97,6 +106,9 @@
                         SidecarProcessFixture.deployedJvmOptions())) {
             InetSocketAddress address = sidecar.awaitListenAddress();
             sidecar.awaitLine("load-balancer: ready ");
+            if (discoveryWhenReady != null) {
+                discovery.handler = discoveryWhenReady;
+            }
             GoodClient client = new GoodClient(address, expectation);
             Thread sending = new Thread(client);
             sending.start();
@@ -259,4 +271,40 @@
             this.piece = piece;
         }
     }
+
+    /** A list that never ends, on each of several calls, must not pile up. */
+    @Test
+    void servesGoodClientsWhileDiscoverySendsEndlessLists() throws Exception {
+        discoveryWhenReady = (request, connection) -> {
+            connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            while (true) {
+                connection.write("fa00\r\n" + " ".repeat(0xfa00) + "\r\n");
+                connection.write("1\r\n \r\n".repeat(10));
+                StubServer.sleep(2);
+            }
+        };
+        assertDuring(
+                Expectation.SERVED, StubServer.echoingRequestId(), 256, address -> Thread.sleep(4 * SENDING_MILLIS));
+    }
+
+    /** Datagrams from senders that are no peers, and long ones, must not pile up. */
+    @Test
+    void servesGoodClientsWhileStrangersSendDatagrams() throws Exception {
+        InetSocketAddress gossipAddress;
+        try (DatagramSocket free = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            gossipAddress = new InetSocketAddress(free.getLocalAddress(), free.getLocalPort());
+        }
+        gossipFields = "\"peer_listen\":\"127.0.0.1:%d\",\"peers\":[\"127.0.0.1:%d\",\"127.0.0.1:9\"],"
+                .formatted(gossipAddress.getPort(), gossipAddress.getPort());
+        assertDuring(Expectation.SERVED, StubServer.echoingRequestId(), 256, address -> {
+            byte[] datagram = new byte[40_000];
+            long endNanos = System.nanoTime() + SENDING_MILLIS * 1_000_000;
+            try (DatagramSocket stranger = new DatagramSocket()) {
+                while (System.nanoTime() < endNanos) {
+                    stranger.send(new DatagramPacket(datagram, datagram.length, gossipAddress));
+                    stranger.send(new DatagramPacket(datagram, 200, gossipAddress));
+                }
+            }
+        });
+    }
 }
