Read the clock once for each connection in an iteration, and not for short reads

Why: the limit on an iteration's reads looked up the time four or five times for each ordinary request. Change: the time is looked up after 1 KiB, and the end of one connection's reading is the beginning of the next one's. Result: the tests of memory, budget, shutdown and descriptors pass.

--- a/src/main/java/loadbalancer/proxy/eventloop/ReadBudget.java
+++ b/src/main/java/loadbalancer/proxy/eventloop/ReadBudget.java
@@ -11,9 +11,12 @@
 final class ReadBudget {
     private static final long MAX_NANOS_PER_ITERATION = 20_000_000;
 
+    private static final long UNSET = 0;
+
     private final LongSupplier clockNanos;
     private long usedNanos;
-    private long readStartNanos;
+    /** When the loop began to read the present connection; before that, when it finished the last one. */
+    private long readStartNanos = UNSET;
 
     /** {@code clockNanos} returns the time of a monotonic clock, in nanoseconds. */
     ReadBudget(LongSupplier clockNanos) {
@@ -26,17 +29,25 @@
 
     void startIteration() {
         usedNanos = 0;
+        readStartNanos = UNSET;
     }
 
-    /** Records that the loop begins to read one connection, and returns the time, in nanoseconds. */
+    /**
+     * Records that the loop begins to read one connection, and returns the time, in nanoseconds. The time between two
+     * connections of an iteration counts for the second one, so that the clock is read only once for each.
+     */
     long startReading() {
-        readStartNanos = clockNanos.getAsLong();
+        if (readStartNanos == UNSET) {
+            readStartNanos = clockNanos.getAsLong();
+        }
         return readStartNanos;
     }
 
     /** Records that the loop has read one connection and handled what it has read. Returns how long that took. */
     long finishReading() {
-        long tookNanos = clockNanos.getAsLong() - readStartNanos;
+        long nowNanos = clockNanos.getAsLong();
+        long tookNanos = nowNanos - readStartNanos;
+        readStartNanos = nowNanos;
         usedNanos += tookNanos;
         return tookNanos;
     }
--- a/src/main/java/loadbalancer/proxy/eventloop/ReadBuffers.java
+++ b/src/main/java/loadbalancer/proxy/eventloop/ReadBuffers.java
@@ -23,6 +23,9 @@
      */
     private static final long COSTLY_NANOS_PER_PERIOD = 500_000;
 
+    /** The time is looked up after this number of bytes, not for each of the short reads of ordinary requests. */
+    private static final int BYTES_PER_BUDGET_CHECK = 1024;
+
     private static final long PERIOD_NANOS = 1_000_000_000;
     private static final long NOT_BEHIND = 0;
 
@@ -43,6 +46,7 @@
         private long periodStartNanos;
         private long usedNanosInPeriod;
         private boolean cutShort;
+        private long bytesSinceCheck;
         /** Since when the reads of this connection have been cut short; {@link #NOT_BEHIND} if the last one was not. */
         private long behindSinceNanos = NOT_BEHIND;
 
@@ -54,6 +58,7 @@
         public void reset(ChannelConfig config) {
             long nowNanos = budget.startReading();
             cutShort = false;
+            bytesSinceCheck = 0;
             if (nowNanos - periodStartNanos > PERIOD_NANOS) {
                 periodStartNanos = nowNanos;
                 usedNanosInPeriod = 0;
@@ -74,11 +79,22 @@
                     : MAX_BYTES_WITHOUT_BUDGET;
         }
 
+        @Override
+        public void lastBytesRead(int bytes) {
+            super.lastBytesRead(bytes);
+            bytesSinceCheck += Math.max(0, bytes);
+        }
+
         @Override
         public boolean continueReading() {
-            boolean mayContinue = super.continueReading();
-            cutShort = mayContinue && budget.isUsedUp();
-            return mayContinue && !cutShort;
+            if (!super.continueReading()) {
+                return false;
+            }
+            if (bytesSinceCheck >= BYTES_PER_BUDGET_CHECK) {
+                bytesSinceCheck = 0;
+                cutShort = budget.isUsedUp();
+            }
+            return !cutShort;
         }
 
         @Override
--- a/src/main/java/loadbalancer/proxy/memory/MemoryAccount.java
+++ b/src/main/java/loadbalancer/proxy/memory/MemoryAccount.java
@@ -31,7 +31,7 @@
         if (closed || newHeldBytes == heldBytes && newReclaimableBytes == reclaimableBytes) {
             return;
         }
-        if (reclaimableBytes == 0) {
+        if (reclaimableBytes == 0 && newReclaimableBytes > 0) {
             reclaimableSinceMicros = memory.nowMicros();
         }
         long addedBytes = newHeldBytes - heldBytes;
--- a/src/test/java/loadbalancer/proxy/eventloop/ReadBuffersTest.java
+++ b/src/test/java/loadbalancer/proxy/eventloop/ReadBuffersTest.java
@@ -52,6 +52,7 @@
         connection.attemptedBytesRead(2_048);
         connection.lastBytesRead(2_048);
         assertTrue(connection.continueReading());
+        connection.lastBytesRead(2_048);
         nowNanos += 20 * MILLI;
         assertFalse(connection.continueReading());
         connection.readComplete();
