--- a/src/main/java/loadbalancer/proxy/eventloop/ReadBudget.java
+++ b/src/main/java/loadbalancer/proxy/eventloop/ReadBudget.java
@@ -4,9 +4,9 @@
 
 /**
  * Limits the time that one iteration of the event loop spends on received bytes. Once the time is used up, each further
- * connection is read only once and only a little, and the rest of its bytes waits for the next iteration. Otherwise
- * peers that send much input that takes long to decode, such as very short chunks, could keep the loop from its timers
- * for seconds. Confined to the event loop.
+ * connection is read only a little, and the rest of its bytes waits for the next iteration. Otherwise peers that send
+ * much input that takes long to decode, such as very short chunks, could keep the loop from its timers for seconds.
+ * Confined to the event loop.
  */
 final class ReadBudget {
     private static final long MAX_NANOS_PER_ITERATION = 20_000_000;
