--- a/review/standins-2/Sidecar.java
+++ b/review/standins-2/Sidecar.java
@@ -18,6 +18,8 @@
     private final Record record;
     private Process process;
     private Thread atExit;
+    /** How many descriptors the sidecar is told that it may have. */
+    int sockets = 256;
     /** The settings in the configuration file that {@link #configure} writes. */
     String settings = SETTINGS;
 
@@ -38,8 +40,8 @@
     void configure(String discovery, String known) throws IOException {
         String peer = "\"127.0.0.1:" + peerPort + "\"";
         String json = "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery
-                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":144,\"sockets\":256},"
-                + "\"peer_listen\":\"127.0.0.1:" + peerPort + "\",\"peers\":[" + peer + "],\"known\":" + known
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":144,\"sockets\":" + sockets
+                + "},\"peer_listen\":\"127.0.0.1:" + peerPort + "\",\"peers\":[" + peer + "],\"known\":" + known
                 + ",\"settings\":" + settings + "}";
         Files.writeString(folder.resolve("config.json"), json);
     }
