--- a/review/standins-2/Case.java
+++ b/review/standins-2/Case.java
@@ -1,3 +1,4 @@
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Comparator;
@@ -35,6 +36,8 @@
         Case played = (Case) Class.forName(arguments[0]).getDeclaredConstructor().newInstance();
         played.root = Path.of(arguments[1]);
         played.temporary = Files.createTempDirectory("review-case-");
+        // Also if the case is ended from outside.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> delete(played.temporary)));
         try (Record record = new Record(Path.of(arguments[2], "record.txt"))) {
             played.record = record;
             record.line("case " + arguments[0] + " trouble=" + played.trouble);
@@ -52,10 +55,14 @@
             record.line("result " + result);
             System.out.println("result " + result);
             return result;
-        } finally {
-            try (Stream<Path> files = Files.walk(played.temporary)) {
-                files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
-            }
+        }
+    }
+
+    private static void delete(Path folder) {
+        try (Stream<Path> files = Files.walk(folder)) {
+            files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+        } catch (IOException e) {
+            System.out.println("could not delete " + folder + ": " + e);
         }
     }
 }
--- a/review/standins-2/Record.java
+++ b/review/standins-2/Record.java
@@ -21,6 +21,7 @@
 
     synchronized void line(String text) {
         out.println(String.format(Locale.ROOT, "%8.3f %s", millis() / 1000.0, text));
+        out.flush();
     }
 
     @Override
