--- a/review/standins-2/CostlyInput.java
+++ b/review/standins-2/CostlyInput.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Bad clients send much at once, in very short chunks, and stay; the application goes on to submit documents. */
 final class CostlyInput extends Case {
@@ -20,6 +21,7 @@
     /** Half a second after its time a request without an answer is lost; every time limit is 50 ms longer. */
     private static final long LOST_AFTER_MILLIS = REMAINING_MILLIS + 500 + 50;
 
+    private final AtomicInteger judged = new AtomicInteger();
     private final List<String> lost = Collections.synchronizedList(new ArrayList<>());
 
     @Override
@@ -49,6 +51,10 @@
         } finally {
             sidecar.end();
         }
+        record.line("requests that are judged: " + judged + ", lost: " + lost.size());
+        if (judged.get() == 0) {
+            throw new CaseCannotRun("no request had an answer or waited for one");
+        }
         return List.copyOf(lost);
     }
 
@@ -82,6 +88,7 @@
             String got = awaitAnswer(socket);
             long tookMillis = record.millis() - sentMillis;
             record.line("client got for " + id + ": " + got + " after " + tookMillis + " ms");
+            judged.addAndGet(got.equals("close") ? 0 : 1);
             if (!got.equals("close") && tookMillis > LOST_AFTER_MILLIS) {
                 lost.add(id + " with " + REMAINING_MILLIS + " ms left had no answer for " + tookMillis + " ms");
             }
--- a/review/standins-2/Sidecar.java
+++ b/review/standins-2/Sidecar.java
@@ -108,17 +108,18 @@
                 .waitFor(5, TimeUnit.SECONDS);
     }
 
-    /** Kills the process, if it runs, and adds its log to the record. */
+    /** Kills the process and adds its log to the record. A process that has ended by itself gives no result. */
     void end() throws Exception {
-        if (!process.isAlive()) {
-            record.line("the sidecar had ended by itself");
-        }
+        boolean endedByItself = !process.isAlive();
         process.destroyForcibly();
         process.waitFor(5, TimeUnit.SECONDS);
         Runtime.getRuntime().removeShutdownHook(atExit);
         for (String line : Files.readAllLines(folder.resolve("sidecar.log"))) {
             record.line("log: " + line);
         }
+        if (endedByItself) {
+            throw new CaseCannotRun("the sidecar had ended by itself");
+        }
     }
 
     /** The settings of a small deployment: those that the page WIRE shows, for one sidecar. */
