--- a/review/standins-2/Sidecar.java
+++ b/review/standins-2/Sidecar.java
@@ -110,7 +110,8 @@
 
     /** Kills the process and adds its log to the record. A process that has ended by itself gives no result. */
     void end() throws Exception {
-        boolean endedByItself = !process.isAlive();
+        // The sockets of a process that ends are closed a moment before its end is seen.
+        boolean endedByItself = process.waitFor(500, TimeUnit.MILLISECONDS);
         process.destroyForcibly();
         process.waitFor(5, TimeUnit.SECONDS);
         Runtime.getRuntime().removeShutdownHook(atExit);
