Totals say how connections were limited and how long iterations read

The log could not tell whether requests wait because accepting is paused, because too many connections are open, or because iterations of the event loop read for too long.

--- a/src/main/java/loadbalancer/proxy/client/AcceptBacklog.java
+++ b/src/main/java/loadbalancer/proxy/client/AcceptBacklog.java
@@ -38,6 +38,10 @@
      * {@link #UNSET} while accepting is paused and before its first pause.
      */
     private long resumedMicros = UNSET;
+    /** Since when accepting has been paused; {@link #UNSET} while connections are accepted. */
+    private long pausedSinceMicros = UNSET;
+
+    private long pausedMicros;
 
     AcceptBacklog(ReadTrackingEventLoop eventLoop) {
         this.eventLoop = eventLoop;
@@ -61,13 +65,28 @@
         long nowMicros = eventLoop.clock().nowMicros();
         if (accepting) {
             resumedMicros = nowMicros;
+            pausedMicros += nowMicros - pausedSinceMicros;
+            pausedSinceMicros = UNSET;
             // Wakes the loop so that it reads all sockets; until then it is not known whether a connection was waiting.
             eventLoop.nettyEventLoop().schedule(() -> {}, 1, TimeUnit.NANOSECONDS);
         } else {
             resetWaitIfSocketsRead();
             waitingSinceMicros = waitingSinceMicros == UNSET ? nowMicros : waitingSinceMicros;
             resumedMicros = UNSET;
+            pausedSinceMicros = nowMicros;
+        }
+    }
+
+    /** Returns for how long accepting was paused since the last call, in microseconds, and resets it. */
+    long resetPausedMicros() {
+        long sumMicros = pausedMicros;
+        pausedMicros = 0;
+        if (pausedSinceMicros != UNSET) {
+            long nowMicros = eventLoop.clock().nowMicros();
+            sumMicros += nowMicros - pausedSinceMicros;
+            pausedSinceMicros = nowMicros;
         }
+        return sumMicros;
     }
 
     /**
--- a/src/main/java/loadbalancer/proxy/client/ClientConnections.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientConnections.java
@@ -20,6 +20,8 @@
     private final ConnectionLimits limits;
     private final Set<ClientConnection> connections = new HashSet<>();
     private int idleConnections;
+    private int evictedConnections;
+    private int maxConnections;
 
     ClientConnections(ConnectionLimits limits) {
         this.limits = limits;
@@ -27,6 +29,7 @@
 
     void add(ClientConnection connection) {
         connections.add(connection);
+        maxConnections = Math.max(maxConnections, connections.size());
     }
 
     void remove(ClientConnection connection) {
@@ -75,7 +78,7 @@
             connections.stream()
                     .filter(connection -> connection.receivingMicros(nowMicros) > MIN_RECEIVING_BEFORE_EVICTION_MICROS)
                     .max(Comparator.comparingLong(connection -> connection.receivingMicros(nowMicros)))
-                    .ifPresent(ClientConnection::rejectIncompleteRequest);
+                    .ifPresent(this::evictIncomplete);
         }
     }
 
@@ -89,9 +92,26 @@
                 .min(Comparator.comparing(ClientConnection::hasReceivedRequest)
                         .thenComparing(ClientConnection::lastActivityMicros));
         idle.ifPresent(connection -> connection.close(Reason.EVICTED));
+        evictedConnections += idle.isPresent() ? 1 : 0;
         return idle.isPresent();
     }
 
+    private void evictIncomplete(ClientConnection connection) {
+        connection.rejectIncompleteRequest();
+        evictedConnections++;
+    }
+
+    /**
+     * Returns the largest number of open connections and the number of evicted ones since the last call, as keys and
+     * values for the log with a leading space, and resets them.
+     */
+    String summarizeAndReset() {
+        String line = " client_connections_max=" + maxConnections + " client_connections_evicted=" + evictedConnections;
+        maxConnections = connections.size();
+        evictedConnections = 0;
+        return line;
+    }
+
     void closeTimedOut(long nowMicros) {
         // Iterates over a copy, because closing a connection removes it from the set.
         List.copyOf(connections).forEach(connection -> connection.closeIfTimedOut(nowMicros));
--- a/src/main/java/loadbalancer/proxy/client/ClientListener.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientListener.java
@@ -105,6 +105,11 @@
         return nowMicros - lastAcceptedMicros;
     }
 
+    /** Returns for how long accepting was paused since the last call, in microseconds, and resets it. */
+    long resetPausedMicros() {
+        return backlog.resetPausedMicros();
+    }
+
     boolean isAccepting() {
         return backlog.isAccepting();
     }
--- a/src/main/java/loadbalancer/proxy/client/SidecarHttpServer.java
+++ b/src/main/java/loadbalancer/proxy/client/SidecarHttpServer.java
@@ -70,6 +70,14 @@
         return connections.size();
     }
 
+    /**
+     * Returns how the connections of clients were limited since the last call, as keys and values for the log with a
+     * leading space.
+     */
+    public String summarizeConnectionsAndReset() {
+        return connections.summarizeAndReset() + " accept_paused_millis=" + listener.resetPausedMicros() / 1_000;
+    }
+
     /**
      * Listens on {@code address} and returns the bound address. Blocks until the socket is bound, so it must not be
      * called on the event loop.
--- a/src/main/java/loadbalancer/proxy/eventloop/ReadBudget.java
+++ b/src/main/java/loadbalancer/proxy/eventloop/ReadBudget.java
@@ -15,6 +15,8 @@
 
     private final LongSupplier clockNanos;
     private long usedNanos;
+    private long longestIterationNanos;
+    private int exhaustedIterations;
     /** When the loop began to read the present connection; before that, when it finished the last one. */
     private long readStartNanos = UNSET;
 
@@ -28,6 +30,10 @@
     }
 
     void startIteration() {
+        longestIterationNanos = Math.max(longestIterationNanos, usedNanos);
+        if (usedNanos >= MAX_NANOS_PER_ITERATION) {
+            exhaustedIterations++;
+        }
         usedNanos = 0;
         readStartNanos = UNSET;
     }
@@ -57,6 +63,18 @@
         return usedNanos >= MAX_NANOS_PER_ITERATION;
     }
 
+    /**
+     * Returns the longest time that an iteration spent on received bytes since the last call, and how many iterations
+     * used up their time, as keys and values for the log with a leading space, and resets them.
+     */
+    String summarizeAndReset() {
+        String line = " read_iteration_max_millis=" + longestIterationNanos / 1_000_000 + " read_iterations_exhausted="
+                + exhaustedIterations;
+        longestIterationNanos = 0;
+        exhaustedIterations = 0;
+        return line;
+    }
+
     /** Returns whether the time of this iteration is used up now. */
     boolean isUsedUp() {
         return usedNanos + clockNanos.getAsLong() - readStartNanos >= MAX_NANOS_PER_ITERATION;
--- a/src/main/java/loadbalancer/proxy/eventloop/ReadTrackingEventLoop.java
+++ b/src/main/java/loadbalancer/proxy/eventloop/ReadTrackingEventLoop.java
@@ -154,6 +154,14 @@
                 : 0;
     }
 
+    /**
+     * Returns how long the iterations of the loop spent on received bytes since the last call, as keys and values for
+     * the log with a leading space.
+     */
+    public String summarizeReadsAndReset() {
+        return readBudget.summarizeAndReset();
+    }
+
     /** Records by how many microseconds a periodic task was late. Must be called on each run of one such task. */
     public void recordLag(long lagMicros) {
         recentLagMicros = Math.max(lagMicros, recentLagMicros - recentLagMicros / LAG_DECAY_DIVISOR);
--- a/src/main/java/loadbalancer/proxy/lifecycle/MaintenanceTask.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/MaintenanceTask.java
@@ -98,7 +98,11 @@
         String totals = statistics.summarizeAndReset(
                 dispatcher.openRequestCount(), httpServer.openConnectionCount(), upstreamPool.openConnectionCount());
         if (totals != null) {
-            SidecarLog.info(totals + messageMemory.summarizeAndReset() + DirectMemory.describe());
+            SidecarLog.info(totals
+                    + httpServer.summarizeConnectionsAndReset()
+                    + eventLoop.summarizeReadsAndReset()
+                    + messageMemory.summarizeAndReset()
+                    + DirectMemory.describe());
             monitor.resetBaseline();
         }
         monitor.recordFinishedTask("totals", startMicros);
