New clients no longer wait in the backlog behind silent connections

Cause: a read accepted 16 connections also beyond the maximum, connections were closed only when another was accepted, and the surplus went one in 100 ms, with accepting paused. Evidence: 145 connections at a maximum of 130, paused for 2,133 ms of 5 s, loop late by 13 ms at most.

Change: as long as a connection may be closed, accepting goes on and as many are closed as are needed, those that use their descriptor the least first. Silence counts up to the last read of all sockets. A paused listener is looked at every 10 ms.

The new test fails before (3,439 ms of 1,050).

--- a/src/main/java/loadbalancer/proxy/client/AcceptAllocator.java
+++ b/src/main/java/loadbalancer/proxy/client/AcceptAllocator.java
@@ -1,26 +1,23 @@
 package loadbalancer.proxy.client;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelConfig;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import java.util.function.IntSupplier;
 
 /**
- * Limits how many connections a listener accepts in one read: a few, or as many as there is room for. While the event
- * loop is busy, new clients would otherwise wait many iterations for their turn in the accept backlog.
+ * Lets a listener accept as many connections in one read as there is room for, but at least one. If it accepted fewer,
+ * new clients would wait many iterations of a busy event loop for their turn in the accept backlog; if it accepted
+ * more, the surplus would keep out the clients behind it.
  */
 final class AcceptAllocator implements RecvByteBufAllocator {
     private final ServerChannelRecvByteBufAllocator delegate = new ServerChannelRecvByteBufAllocator();
-    private final int minAcceptsPerRead;
-    private final IntSupplier freeConnections;
-
-    /**
-     * {@code freeConnections} returns how many further connections may be open. Of the connections that wait,
-     * {@code minAcceptsPerRead} are accepted even if that is more.
-     */
-    AcceptAllocator(int minAcceptsPerRead, int maxAcceptsPerRead, IntSupplier freeConnections) {
-        this.minAcceptsPerRead = minAcceptsPerRead;
-        this.freeConnections = freeConnections;
+    private final IntSupplier admissibleConnections;
+
+    /** {@code admissibleConnections} returns how many further connections there is room for. */
+    AcceptAllocator(int maxAcceptsPerRead, IntSupplier admissibleConnections) {
+        this.admissibleConnections = admissibleConnections;
         delegate.maxMessagesPerRead(maxAcceptsPerRead);
     }
 
@@ -29,8 +26,17 @@
         return new LimitedHandle(delegate.newHandle());
     }
 
+    /** Returns whether the last read of {@code listener} ended before it was known that no more connections wait. */
+    static boolean moreMayWait(Channel listener) {
+        return listener.unsafe().recvBufAllocHandle() instanceof LimitedHandle handle && handle.stoppedEarly;
+    }
+
     private final class LimitedHandle extends DelegatingHandle {
+        /** How many connections there was room for when the read began. They are set up only after it. */
+        private int maxAccepts;
+
         private int acceptedInRead;
+        private boolean stoppedEarly;
 
         LimitedHandle(Handle delegate) {
             super(delegate);
@@ -38,7 +44,9 @@
 
         @Override
         public void reset(ChannelConfig config) {
+            maxAccepts = admissibleConnections.getAsInt();
             acceptedInRead = 0;
+            stoppedEarly = false;
             super.reset(config);
         }
 
@@ -50,8 +58,8 @@
 
         @Override
         public boolean continueReading() {
-            boolean mayAccept = acceptedInRead < minAcceptsPerRead || acceptedInRead < freeConnections.getAsInt();
-            return mayAccept && super.continueReading();
+            stoppedEarly = acceptedInRead >= maxAccepts || !super.continueReading();
+            return !stoppedEarly;
         }
     }
 }
--- a/src/main/java/loadbalancer/proxy/client/AcceptBacklog.java
+++ b/src/main/java/loadbalancer/proxy/client/AcceptBacklog.java
@@ -19,23 +19,19 @@
  * {@link SidecarHttpServer#closeTimedOutConnections} resumes accepting within 100 ms.
  */
 final class AcceptBacklog extends ChannelInboundHandlerAdapter {
-    /** A read of a listener accepts at least this number of connections if so many wait. */
-    static final int MIN_ACCEPTS_PER_READ = 16;
-
     private static final long UNSET = 0;
 
     private final ReadTrackingEventLoop eventLoop;
     private final LogRateLimit failures = new LogRateLimit(1);
     private Channel listener;
-    private int acceptedInRead;
     /**
      * The earliest time at which connections can have begun to wait because accepting was paused; {@link #UNSET} if
      * none can be waiting for this reason.
      */
     private long waitingSinceMicros = UNSET;
     /**
-     * When accepting was last resumed, or when a read last accepted {@link #MIN_ACCEPTS_PER_READ} connections;
-     * {@link #UNSET} while accepting is paused and before its first pause.
+     * When accepting was last resumed, or when a read last accepted as many connections as there was room for, so that
+     * more may wait; {@link #UNSET} while accepting is paused and before its first pause.
      */
     private long resumedMicros = UNSET;
     /** Since when accepting has been paused; {@link #UNSET} while connections are accepted. */
@@ -118,19 +114,11 @@
         setAccepting(false);
     }
 
-    @Override
-    public void channelRead(ChannelHandlerContext context, Object channel) {
-        acceptedInRead++;
-        context.fireChannelRead(channel);
-    }
-
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        boolean moreMayWait = acceptedInRead >= MIN_ACCEPTS_PER_READ;
-        if (moreMayWait && resumedMicros != UNSET) {
+        if (AcceptAllocator.moreMayWait(listener) && resumedMicros != UNSET) {
             resumedMicros = eventLoop.clock().nowMicros();
         }
-        acceptedInRead = 0;
         context.fireChannelReadComplete();
     }
 }
--- a/src/main/java/loadbalancer/proxy/client/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientConnection.java
@@ -305,33 +305,29 @@
         return !hasPendingResponse() && !activity.isReceivingRequest();
     }
 
-    boolean hasReceivedRequest() {
-        return activity.hasReceivedRequest();
-    }
-
-    long lastActivityMicros() {
-        return activity.lastActivityMicros();
-    }
-
-    /**
-     * Returns how long the connection has been between requests, in microseconds; 0 if it is handling or receiving a
-     * request, or is about to close after invalid input.
-     */
-    long idleMicros(long nowMicros) {
-        return isBetweenRequests() && inputError == null ? nowMicros - activity.lastActivityMicros() : 0;
-    }
-
     /**
-     * Returns for how long an incomplete request has been received, in microseconds; 0 if there is none or a response
-     * is pending.
+     * Returns the connection as a candidate for an eviction, or null if it must not be closed: a response is pending,
+     * it is about to close, or it has been used too recently.
+     *
+     * @param readMicros when the last read of all sockets began
      */
-    long receivingMicros(long nowMicros) {
-        return hasPendingResponse() || inputError != null ? 0 : activity.receivingMicros(nowMicros);
+    EvictionCandidate evictionCandidate(long readMicros) {
+        if (hasPendingResponse() || inputError != null) {
+            return null;
+        }
+        boolean used = activity.hasReceivedRequest() || activity.isReceivingRequest();
+        boolean unread = eventLoop.maxUnreadMicros(channel) > 0;
+        long silentMicros = unread ? 0 : readMicros - activity.lastActivityMicros();
+        return EvictionCandidate.of(this, used, silentMicros, activity.receivingMicros(readMicros));
     }
 
-    /** Rejects the incomplete request, because the connection is needed for other clients. */
-    void rejectIncompleteRequest() {
-        rejectInput(HttpResponseStatus.SERVICE_UNAVAILABLE, Reason.EVICTED);
+    /** Makes room for another client: rejects the incomplete request, or closes the connection between requests. */
+    void evict() {
+        if (isBetweenRequests()) {
+            close(Reason.EVICTED);
+        } else {
+            rejectInput(HttpResponseStatus.SERVICE_UNAVAILABLE, Reason.EVICTED);
+        }
     }
 
     /**
--- a/src/main/java/loadbalancer/proxy/client/ClientConnections.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientConnections.java
@@ -1,22 +1,17 @@
 package loadbalancer.proxy.client;
 
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import loadbalancer.proxy.client.ConnectionCloseLog.Reason;
+import java.util.stream.Stream;
 
 /**
  * The open connections of clients. Selects the connection to close when the maximum number is reached. Confined to the
  * event loop.
  */
 final class ClientConnections {
-    /** How long a connection has to be idle before it is evicted. Before that, a request may still be on its way. */
-    private static final long MIN_IDLE_BEFORE_EVICTION_MICROS = 50_000;
-    /** How long a request has to be incomplete before it is rejected for another client. Ordinary ones take less. */
-    private static final long MIN_RECEIVING_BEFORE_EVICTION_MICROS = 250_000;
-
     private final ConnectionLimits limits;
     private final Set<ClientConnection> connections = new HashSet<>();
     private int idleConnections;
@@ -44,10 +39,6 @@
         return connections.isEmpty();
     }
 
-    boolean isFull() {
-        return connections.size() >= limits.maxConnections();
-    }
-
     /**
      * Counts one more connection as kept open between two requests. A connection that has not sent any request yet is
      * not counted.
@@ -69,36 +60,57 @@
     }
 
     /**
-     * Closes one connection if the maximum number of connections is reached: one that is between requests or, if there
-     * is none, one whose request has been incomplete for the longest time. Without the latter, clients that stop within
-     * a request would keep out all others until their requests time out.
+     * Closes connections until there is room for another one, those first that use their descriptor the least; see
+     * {@link EvictionCandidate}. Stops if no further one may be closed.
+     *
+     * @param readMicros when the last read of all sockets began
      */
-    void evictIfFull(long nowMicros) {
-        if (isFull() && !evictIdle(nowMicros)) {
-            connections.stream()
-                    .filter(connection -> connection.receivingMicros(nowMicros) > MIN_RECEIVING_BEFORE_EVICTION_MICROS)
-                    .max(Comparator.comparingLong(connection -> connection.receivingMicros(nowMicros)))
-                    .ifPresent(this::evictIncomplete);
+    void evictUntilOneIsFree(long readMicros) {
+        while (noneIsFree() && evictOne(readMicros)) {
+            evictedConnections++;
         }
     }
 
+    private boolean noneIsFree() {
+        return connections.size() >= limits.maxConnections()
+                || limits.freeDescriptors().getAsInt() < 0;
+    }
+
+    private boolean evictOne(long readMicros) {
+        Optional<EvictionCandidate> worst = candidates(readMicros).min(EvictionCandidate.WORST_FIRST);
+        worst.ifPresent(candidate -> candidate.connection().evict());
+        return worst.isPresent();
+    }
+
+    private Stream<EvictionCandidate> candidates(long readMicros) {
+        return connections.stream()
+                .map(connection -> connection.evictionCandidate(readMicros))
+                .filter(Objects::nonNull);
+    }
+
+    /**
+     * Returns whether one more connection may be accepted, because a descriptor is free or will be after an eviction.
+     * May close an idle upstream connection to free a descriptor.
+     *
+     * @param readMicros when the last read of all sockets began
+     */
+    boolean canAdmit(long readMicros) {
+        boolean belowMaximum = connections.size() < limits.maxConnections();
+        return belowMaximum && limits.descriptorAvailable().getAsBoolean()
+                || candidates(readMicros).findAny().isPresent();
+    }
+
     /**
-     * Closes the idle connection with the earliest last activity, but one that has never sent a request before any
-     * other. Returns false if there is none.
+     * Returns how many connections may be accepted at once, before any is evicted; at least 1. Meanwhile each of them
+     * and each one to be evicted has a descriptor.
+     *
+     * @param readMicros when the last read of all sockets began
      */
-    private boolean evictIdle(long nowMicros) {
-        Optional<ClientConnection> idle = connections.stream()
-                .filter(connection -> connection.idleMicros(nowMicros) > MIN_IDLE_BEFORE_EVICTION_MICROS)
-                .min(Comparator.comparing(ClientConnection::hasReceivedRequest)
-                        .thenComparing(ClientConnection::lastActivityMicros));
-        idle.ifPresent(connection -> connection.close(Reason.EVICTED));
-        evictedConnections += idle.isPresent() ? 1 : 0;
-        return idle.isPresent();
-    }
-
-    private void evictIncomplete(ClientConnection connection) {
-        connection.rejectIncompleteRequest();
-        evictedConnections++;
+    int admissibleAtOnce(long readMicros) {
+        int belowMaximum = limits.maxConnections() - connections.size();
+        int admissible =
+                belowMaximum > 0 ? belowMaximum : (int) candidates(readMicros).count();
+        return Math.max(1, Math.min(admissible, limits.freeDescriptors().getAsInt()));
     }
 
     /**
--- a/src/main/java/loadbalancer/proxy/client/ClientListener.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientListener.java
@@ -29,18 +29,18 @@
     private AcceptBacklog backlog;
 
     private final Consumer<Channel> onAccepted;
-    private final IntSupplier freeConnections;
+    private final IntSupplier admissibleConnections;
     private Channel channel;
     private long lastAcceptedMicros;
 
     /**
-     * {@code onAccepted} sets up the pipeline of an accepted connection; {@code freeConnections} returns how many
+     * {@code onAccepted} sets up the pipeline of an accepted connection; {@code admissibleConnections} returns how many
      * further connections may be accepted. Both are called on the event loop.
      */
-    ClientListener(ReadTrackingEventLoop eventLoop, Consumer<Channel> onAccepted, IntSupplier freeConnections) {
+    ClientListener(ReadTrackingEventLoop eventLoop, Consumer<Channel> onAccepted, IntSupplier admissibleConnections) {
         this.eventLoop = eventLoop;
         this.onAccepted = onAccepted;
-        this.freeConnections = freeConnections;
+        this.admissibleConnections = admissibleConnections;
         backlog = new AcceptBacklog(eventLoop);
     }
 
@@ -65,8 +65,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(
                         ChannelOption.RECVBUF_ALLOCATOR,
-                        new AcceptAllocator(
-                                AcceptBacklog.MIN_ACCEPTS_PER_READ, MAX_BACKLOG_CONNECTIONS, freeConnections))
+                        new AcceptAllocator(MAX_BACKLOG_CONNECTIONS, admissibleConnections))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 // By default, Netty stops after a read that does not fill the buffer, and does not see the end of the
                 // connection if it follows.
--- a/src/main/java/loadbalancer/proxy/client/SidecarHttpServer.java
+++ b/src/main/java/loadbalancer/proxy/client/SidecarHttpServer.java
@@ -3,7 +3,9 @@
 import io.netty.channel.Channel;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import loadbalancer.proxy.eventloop.FaultIsolation;
 import loadbalancer.proxy.eventloop.MonotonicClock;
 import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
 import loadbalancer.proxy.memory.MessageMemory;
@@ -17,6 +19,9 @@
  * loop.
  */
 public final class SidecarHttpServer {
+    /** How often it is checked, while accepting is paused, whether a connection may be evicted by now. */
+    private static final long PAUSED_ACCEPT_CHECK_MILLIS = 10;
+
     private final ReadTrackingEventLoop eventLoop;
     private final MonotonicClock clock;
     private final RequestDispatcher dispatcher;
@@ -33,6 +38,8 @@
     /** Called with each request during the warm-up; null if no warm-up is in progress. */
     private Runnable onRequestDuringWarmUp;
 
+    private boolean acceptCheckScheduled;
+
     /**
      * {@code discoveryConsulted} returns whether a first call to discovery has completed; the server reports ready only
      * after that. It is called on the event loop.
@@ -54,7 +61,7 @@
         this.statistics = statistics;
         this.messageMemory = messageMemory;
         connections = new ClientConnections(limits);
-        listener = new ClientListener(eventLoop, this::connectionAccepted, this::freeConnectionCount);
+        listener = new ClientListener(eventLoop, this::connectionAccepted, this::admissibleConnectionCount);
         shutdown = new GracefulShutdown(eventLoop, listener, connections, this.requestClasses);
         exchangeFactory =
                 new RequestExchangeFactory(eventLoop, new RequestParser(this.requestClasses), dispatcher, shutdown);
@@ -143,9 +150,10 @@
         connections.idleConnectionRemoved();
     }
 
-    private int freeConnectionCount() {
-        int belowMaximum = limits.maxConnections() - connections.size();
-        return Math.min(belowMaximum, limits.freeDescriptors().getAsInt());
+    private int admissibleConnectionCount() {
+        return isShuttingDown()
+                ? Math.max(1, limits.freeDescriptors().getAsInt())
+                : connections.admissibleAtOnce(eventLoop.lastReadMicros());
     }
 
     private void connectionAccepted(Channel channel) {
@@ -154,7 +162,7 @@
                 channel, eventLoop, dispatcher, exchangeFactory, this, listener.maxBacklogWaitMicros());
         connections.add(connection);
         statistics.clientConnectionAccepted();
-        connections.evictIfFull(clock.nowMicros());
+        connections.evictUntilOneIsFree(eventLoop.lastReadMicros());
         updateAccepting();
         channel.closeFuture().addListener(closed -> {
             connections.remove(connection);
@@ -165,26 +173,39 @@
 
     /**
      * Pauses or resumes accepting. Accepting is paused at the maximum number of connections, because upstream
-     * connections need file descriptors too, and while no file descriptor is available; further connections wait in the
-     * accept backlog. During a shutdown the maximum is ignored, so that connections that are already in the backlog are
-     * still served.
+     * connections need file descriptors too, and while no file descriptor is available, unless a connection may be
+     * evicted; further connections wait in the accept backlog. During a shutdown the maximum is ignored, so that
+     * connections that are already in the backlog are still served.
      */
     private void updateAccepting() {
-        boolean belowMaximum = isShuttingDown() || !connections.isFull();
-        listener.setAccepting(belowMaximum && limits.descriptorAvailable().getAsBoolean());
+        boolean accepting = isShuttingDown()
+                ? limits.descriptorAvailable().getAsBoolean()
+                : connections.canAdmit(eventLoop.lastReadMicros());
+        listener.setAccepting(accepting);
+        if (!accepting && !acceptCheckScheduled) {
+            acceptCheckScheduled = true;
+            eventLoop
+                    .nettyEventLoop()
+                    .schedule(this::checkPausedAccepting, PAUSED_ACCEPT_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void checkPausedAccepting() {
+        acceptCheckScheduled = false;
+        if (listener.isOpen()) {
+            FaultIsolation.run("accept_check", this::updateAccepting);
+        }
     }
 
     /**
      * Closes connections that occupy a file descriptor without using it: those that have sent no request in time, those
-     * whose request has been incomplete for too long, and those that have been idle for too long. If the maximum number
-     * of connections is still reached, also closes one that has been idle or incomplete for a shorter time. Resumes
-     * accepting once upstream connections have released file descriptors. Called every 100 ms by the sidecar's
-     * maintenance task.
+     * whose request has been incomplete for too long, and those that have been idle for too long. At the maximum number
+     * of connections, also closes one that has been silent for a shorter time. Resumes accepting once upstream
+     * connections have released file descriptors. Called every 100 ms by the sidecar's maintenance task.
      */
     public void closeTimedOutConnections() {
-        long nowMicros = clock.nowMicros();
-        connections.closeTimedOut(nowMicros);
-        connections.evictIfFull(nowMicros);
+        connections.closeTimedOut(clock.nowMicros());
+        connections.evictUntilOneIsFree(eventLoop.lastReadMicros());
         updateAccepting();
     }
 
--- a/src/test/java/loadbalancer/proxy/lifecycle/DescriptorLimitTest.java
+++ b/src/test/java/loadbalancer/proxy/lifecycle/DescriptorLimitTest.java
@@ -145,6 +145,35 @@
         }
     }
 
+    /**
+     * Guards against silent and half-written connections of a crowd that keep new clients in the backlog until their
+     * requests are lost: one that has 500 ms left must be answered at most 550 ms after that.
+     */
+    @Test
+    void answersNewClientsBehindCrowdOfSilentClientsInTime() throws Exception {
+        try (SidecarFixture fixture = new SidecarFixture()) {
+            startWithTwentyClientConnections(fixture);
+            List<StubServer.Client> crowd = new ArrayList<>();
+            try {
+                for (int i = 0; i < 120; i++) {
+                    StubServer.Client client = fixture.client();
+                    crowd.add(i % 2 == 0 ? client : client.send("POST /api HTTP/1.1\r\nHost: a\r\n"));
+                }
+                long sentNanos = System.nanoTime();
+                try (StubServer.Client client = fixture.client().send(SidecarFixture.idempotentRequest("new", 500))) {
+                    assertEquals(502, client.readStatus());
+                }
+                long elapsedMillis = (System.nanoTime() - sentNanos) / 1_000_000;
+                assertTrue(elapsedMillis <= 1_050, "answered after " + elapsedMillis + " ms");
+                assertTrue(
+                        fixture.sidecar.openConnectionCount() <= 20,
+                        fixture.sidecar.openConnectionCount() + " connections are open");
+            } finally {
+                closeAll(crowd);
+            }
+        }
+    }
+
     /** A request that waits in the backlog while accepting is paused has less time left than its header states. */
     @Test
     void deductsTimeInBacklogFromRemainingTime() throws Exception {
