Pipelined requests of one client give way to other sockets between their turns

Cause: the next turn of 32 requests was submitted as a task, and Netty runs all tasks of up to a second before it reads sockets again, so that a turn never gave way.

Change: the next turn is a timer that is due at once; the loop reads its sockets before.

--- a/src/main/java/loadbalancer/proxy/client/RequestTurns.java
+++ b/src/main/java/loadbalancer/proxy/client/RequestTurns.java
@@ -1,6 +1,7 @@
 package loadbalancer.proxy.client;
 
-import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Limits how many pipelined requests of one connection are handled in a row, so that the event loop serves the other
@@ -9,13 +10,13 @@
 final class RequestTurns {
     private static final int MAX_REQUESTS_PER_TURN = 32;
 
-    private final Executor eventLoop;
+    private final ScheduledExecutorService eventLoop;
     private final Runnable handleRequests;
     private int requestsInTurn;
     private boolean turnScheduled;
 
     /** {@code handleRequests} handles the requests that wait. */
-    RequestTurns(Executor eventLoop, Runnable handleRequests) {
+    RequestTurns(ScheduledExecutorService eventLoop, Runnable handleRequests) {
         this.eventLoop = eventLoop;
         this.handleRequests = handleRequests;
     }
@@ -30,18 +31,21 @@
         return true;
     }
 
-    /** Handles the waiting requests in a later task. */
+    /** Handles the waiting requests in the next iteration of the event loop. */
     void schedule() {
         if (!turnScheduled) {
             turnScheduled = true;
-            eventLoop.execute(() -> {
-                turnScheduled = false;
-                requestsInTurn = 0;
-                handleRequests.run();
-            });
+            // The loop reads its sockets before it runs the timer, though the timer is due at once.
+            eventLoop.schedule(this::startTurn, 1, TimeUnit.NANOSECONDS);
         }
     }
 
+    private void startTurn() {
+        turnScheduled = false;
+        requestsInTurn = 0;
+        handleRequests.run();
+    }
+
     /** Begins a new turn, because everything that was read is handled. */
     void readCompleted() {
         requestsInTurn = 0;
