No attempt begins for a client whose close may lie behind unread input

What callers saw: clients send a request and much behind it, and close.

Cause: attempts wait for a recent read of all sockets, but a read with a limit does not reach the end of each socket. Nothing else explains that the delay exceeds the lag.

Change: an attempt also waits until the socket of its own client has been read to the end; at its deadline it ends as not sent.

The new process test fails before (489 ms; 346 ms with a reset).

--- a/src/main/java/loadbalancer/proxy/client/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientConnection.java
@@ -222,7 +222,9 @@
         }
         try {
             currentExchange = exchangeFactory.create(
-                    received, new FinalResponseWriter(this::write, requestedReuse(received.message())));
+                    received,
+                    () -> !eventLoop.mayHaveUnreadInput(channel),
+                    new FinalResponseWriter(this::write, requestedReuse(received.message())));
         } catch (InvalidRequestException e) {
             write(ClientResponse.withoutBody(HttpResponseStatus.BAD_REQUEST), ConnectionReuse.CLOSE);
             return;
--- a/src/main/java/loadbalancer/proxy/client/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/client/RequestDispatcher.java
@@ -231,6 +231,7 @@
         return UpstreamCall.attempt(
                 endpointId,
                 attemptDeadlineMicros,
+                exchange::isClientInputRead,
                 remainingMicros -> exchange.payload().toHttpRequest(exchange.requestId(), remainingMicros),
                 (call, outcome, report, body) -> {
                     attemptEnded(exchange, call, outcome, body);
--- a/src/main/java/loadbalancer/proxy/client/RequestExchange.java
+++ b/src/main/java/loadbalancer/proxy/client/RequestExchange.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import loadbalancer.decision.Request;
 import loadbalancer.proxy.upstream.UpstreamCall;
 
@@ -17,16 +18,28 @@
     private RequestPayload payload;
 
     private final long deadlineMicros;
+    private final BooleanSupplier clientInputRead;
     private final ResponseHandler responseHandler;
     private final List<UpstreamCall> attempts = new ArrayList<>(1);
     private long dispatchedMicros;
     private boolean completed;
 
-    /** {@code deadlineMicros} is the time by which the response has to be written. */
-    RequestExchange(Request request, RequestPayload payload, long deadlineMicros, ResponseHandler responseHandler) {
+    /**
+     * Creates the exchange of a request that has no attempt yet.
+     *
+     * @param deadlineMicros the time by which the response has to be written
+     * @param clientInputRead returns whether all input of the client has been read
+     */
+    RequestExchange(
+            Request request,
+            RequestPayload payload,
+            long deadlineMicros,
+            BooleanSupplier clientInputRead,
+            ResponseHandler responseHandler) {
         this.request = request;
         this.payload = payload;
         this.deadlineMicros = deadlineMicros;
+        this.clientInputRead = clientInputRead;
         this.responseHandler = responseHandler;
     }
 
@@ -47,6 +60,11 @@
         return deadlineMicros;
     }
 
+    /** Returns whether all input of the client has been read, so that it is known whether it has disconnected. */
+    boolean isClientInputRead() {
+        return clientInputRead.getAsBoolean();
+    }
+
     ResponseHandler responseHandler() {
         return responseHandler;
     }
--- a/src/main/java/loadbalancer/proxy/client/RequestExchangeFactory.java
+++ b/src/main/java/loadbalancer/proxy/client/RequestExchangeFactory.java
@@ -1,5 +1,6 @@
 package loadbalancer.proxy.client;
 
+import java.util.function.BooleanSupplier;
 import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
 
 /**
@@ -40,11 +41,14 @@
     }
 
     /**
-     * Creates the exchange for a request, with {@code responseHandler} to receive its response.
+     * Creates the exchange for a request.
      *
+     * @param clientInputRead returns whether all input of the client has been read
+     * @param responseHandler receives the response
      * @throws InvalidRequestException if the request is invalid, or an open request has the same id
      */
-    RequestExchange create(ReceivedRequest received, ResponseHandler responseHandler) throws InvalidRequestException {
+    RequestExchange create(ReceivedRequest received, BooleanSupplier clientInputRead, ResponseHandler responseHandler)
+            throws InvalidRequestException {
         ParsedRequest parsed = parser.parse(received.message());
         if (dispatcher.isOpen(parsed.id())) {
             throw new InvalidRequestException("expected a request id that no other open request has");
@@ -52,7 +56,11 @@
         long deadlineMicros = deadlineMicros(received, parsed.remainingMicros());
         long untilDeadlineMicros = deadlineMicros - eventLoop.clock().nowMicros();
         return new RequestExchange(
-                parsed.toRequest(untilDeadlineMicros), parsed.payload(), deadlineMicros, responseHandler);
+                parsed.toRequest(untilDeadlineMicros),
+                parsed.payload(),
+                deadlineMicros,
+                clientInputRead,
+                responseHandler);
     }
 
     private long deadlineMicros(ReceivedRequest received, long remainingMicros) {
--- a/src/main/java/loadbalancer/proxy/eventloop/ReadTrackingEventLoop.java
+++ b/src/main/java/loadbalancer/proxy/eventloop/ReadTrackingEventLoop.java
@@ -13,6 +13,7 @@
 import io.netty.util.concurrent.ThreadAwareExecutor;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * A single-threaded event loop that records when it last read all of its sockets. If the loop is late, a client's
@@ -48,7 +49,7 @@
     private final MultiThreadIoEventLoopGroup group;
     private final EventLoop loop;
     private final ReadBudget readBudget = new ReadBudget(System::nanoTime);
-    private final ArrayDeque<Runnable> pendingAttemptStarts = new ArrayDeque<>();
+    private final ArrayDeque<AttemptStart> pendingAttemptStarts = new ArrayDeque<>();
     private boolean attemptStartsScheduled;
     private int postponements;
     /** When the last read of all sockets began. A read includes the time for which the loop waits for data. */
@@ -102,10 +103,13 @@
      * Runs {@code attemptStart} in a later task, once the last read of all sockets is at most
      * {@link #MAX_READ_AGE_MICROS} old and its results have been handled. Data that has arrived since that read may
      * still be unread. If the loop stays late, runs {@code attemptStart} after {@link #MAX_POSTPONEMENTS} postponements
-     * in any case.
+     * in any case, but never while the client's end may lie behind input that the loop has not read yet.
+     *
+     * @param clientInputRead returns whether the client's socket has been read to the end, or it does not matter any
+     *     more; called repeatedly until it returns true
      */
-    public void runAfterRecentRead(Runnable attemptStart) {
-        pendingAttemptStarts.add(attemptStart);
+    public void runAfterRecentRead(BooleanSupplier clientInputRead, Runnable attemptStart) {
+        pendingAttemptStarts.add(new AttemptStart(clientInputRead, attemptStart));
         if (!attemptStartsScheduled) {
             attemptStartsScheduled = true;
             // When Netty finds a connection closed, it reports this in a separate task. The nested execute lets such a
@@ -117,18 +121,33 @@
     private void runPendingAttemptStarts() {
         boolean readIsOld = clock.nowMicros() - lastReadMicros > MAX_READ_AGE_MICROS;
         if (readIsOld && postponements++ < MAX_POSTPONEMENTS) {
-            // The new timer is due at once, but the loop reads its sockets before it runs the timer.
-            loop.schedule(this::runPendingAttemptStarts, 1, TimeUnit.NANOSECONDS);
+            runPendingAttemptStartsAfterNextRead();
             return;
         }
         attemptStartsScheduled = false;
         postponements = 0;
         // Runs only the starts that are pending now. Starts that are added meanwhile have scheduled another call.
+        boolean someWait = false;
         for (int remaining = pendingAttemptStarts.size(); remaining > 0; remaining--) {
-            FaultIsolation.run("attempt_start", pendingAttemptStarts.poll());
+            AttemptStart next = pendingAttemptStarts.poll();
+            if (next.clientInputRead().getAsBoolean()) {
+                FaultIsolation.run("attempt_start", next.start());
+            } else {
+                pendingAttemptStarts.add(next);
+                someWait = true;
+            }
+        }
+        if (someWait && !attemptStartsScheduled) {
+            attemptStartsScheduled = true;
+            runPendingAttemptStartsAfterNextRead();
         }
     }
 
+    private void runPendingAttemptStartsAfterNextRead() {
+        // The new timer is due at once, but the loop reads its sockets before it runs the timer.
+        loop.schedule(this::runPendingAttemptStarts, 1, TimeUnit.NANOSECONDS);
+    }
+
     /** Returns when the last read of all sockets began. All data that had arrived by then has been read. */
     public long lastReadMicros() {
         return lastReadMicros;
@@ -169,6 +188,14 @@
         return readBudget.lacksTime();
     }
 
+    /**
+     * Returns whether a socket may have unread input, and the end of the connection behind it, because its last read
+     * was cut short.
+     */
+    public boolean mayHaveUnreadInput(Channel channel) {
+        return channel.unsafe().recvBufAllocHandle() instanceof ReadBuffers.BudgetedHandle handle && handle.isBehind();
+    }
+
     /** Records by how many microseconds a periodic task was late. Must be called on each run of one such task. */
     public void recordLag(long lagMicros) {
         recentLagMicros = Math.max(lagMicros, recentLagMicros - recentLagMicros / LAG_DECAY_DIVISOR);
@@ -179,6 +206,9 @@
         return recentLagMicros;
     }
 
+    /** The start of an attempt, and whether the input of its client has been read. */
+    private record AttemptStart(BooleanSupplier clientInputRead, Runnable start) {}
+
     private IoHandlerFactory trackingFactory(IoHandlerFactory delegate) {
         return new IoHandlerFactory() {
             @Override
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamCall.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamCall.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.util.concurrent.Future;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongFunction;
 import loadbalancer.decision.AttemptOutcome;
 import loadbalancer.decision.LoadReport;
@@ -23,6 +24,7 @@
     private final Kind kind;
     private final String endpointId;
     private final long deadlineMicros;
+    private final BooleanSupplier clientInputRead;
     private final LongFunction<FullHttpRequest> requestFactory;
     private final UpstreamCallListener listener;
 
@@ -45,11 +47,13 @@
             Kind kind,
             String endpointId,
             long deadlineMicros,
+            BooleanSupplier clientInputRead,
             LongFunction<FullHttpRequest> requestFactory,
             UpstreamCallListener listener) {
         this.kind = kind;
         this.endpointId = endpointId;
         this.deadlineMicros = deadlineMicros;
+        this.clientInputRead = clientInputRead;
         this.requestFactory = requestFactory;
         this.listener = listener;
     }
@@ -57,15 +61,18 @@
     /**
      * Creates a call that forwards a client's request.
      *
+     * @param clientInputRead returns whether all input of the client has been read, so that it is known whether the
+     *     client has disconnected; until then the call is not written
      * @param requestFactory creates the request just before it is written; its argument is the time left until the
      *     deadline, in microseconds
      */
     public static UpstreamCall attempt(
             String endpointId,
             long deadlineMicros,
+            BooleanSupplier clientInputRead,
             LongFunction<FullHttpRequest> requestFactory,
             UpstreamCallListener listener) {
-        return new UpstreamCall(Kind.ATTEMPT, endpointId, deadlineMicros, requestFactory, listener);
+        return new UpstreamCall(Kind.ATTEMPT, endpointId, deadlineMicros, clientInputRead, requestFactory, listener);
     }
 
     /** Creates a call that requests the load report of an endpoint, which is the body of the response. */
@@ -74,7 +81,7 @@
             long deadlineMicros,
             LongFunction<FullHttpRequest> requestFactory,
             UpstreamCallListener listener) {
-        return new UpstreamCall(Kind.HEALTH_CHECK, endpointId, deadlineMicros, requestFactory, listener);
+        return new UpstreamCall(Kind.HEALTH_CHECK, endpointId, deadlineMicros, () -> true, requestFactory, listener);
     }
 
     /** Returns the id of the endpoint to which the call is sent. */
@@ -186,8 +193,20 @@
         end(written ? AttemptOutcome.MALFORMED_RESPONSE : AttemptOutcome.CONNECT_FAILED);
     }
 
+    /**
+     * Returns whether the call need not wait for its client's input: all of it has been read, or the call has ended.
+     */
+    boolean isClientInputRead() {
+        return hasEnded() || clientInputRead.getAsBoolean();
+    }
+
     void onDeadline() {
-        abort(written ? AttemptOutcome.TIMEOUT : AttemptOutcome.CONNECT_FAILED);
+        if (written) {
+            abort(AttemptOutcome.TIMEOUT);
+        } else {
+            // A client whose input takes too long to read is no fault of the endpoint.
+            abort(isClientInputRead() ? AttemptOutcome.CONNECT_FAILED : AttemptOutcome.NOT_SENT);
+        }
     }
 
     /** Ends the call without a response. */
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamConnectionPool.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamConnectionPool.java
@@ -151,7 +151,7 @@
         call.start(
                 nowMicros, endpoint, nettyEventLoop.schedule(call::onDeadline, timeoutMicros, TimeUnit.MICROSECONDS));
         // Data that is still unread may end the call, change the state of its endpoint or close an idle connection.
-        eventLoop.runAfterRecentRead(() -> assignConnection(call));
+        eventLoop.runAfterRecentRead(call::isClientInputRead, () -> assignConnection(call));
     }
 
     private void assignConnection(UpstreamCall call) {
@@ -193,7 +193,7 @@
             } else if (!connected.isSuccess()) {
                 call.onConnectionLost();
             } else {
-                eventLoop.runAfterRecentRead(() -> writeIfSendable(call, channel));
+                eventLoop.runAfterRecentRead(call::isClientInputRead, () -> writeIfSendable(call, channel));
             }
         });
     }
--- a/src/test/java/loadbalancer/UnfinishedMessagesTest.java
+++ b/src/test/java/loadbalancer/UnfinishedMessagesTest.java
@@ -10,8 +10,10 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.UnaryOperator;
 import loadbalancer.proxy.testing.BadClients;
 import loadbalancer.proxy.testing.SidecarFixture;
@@ -42,6 +44,9 @@
     /** A later response counts as lost. */
     private static final long GOOD_RESPONSE_LIMIT_MILLIS = GOOD_REQUEST_MILLIS + 500;
 
+    /** An attempt that begins later than this after its client has closed the connection counts as lost. */
+    private static final long DISCONNECT_LIMIT_NANOS = 100_000_000;
+
     private static final long SENDING_MILLIS = 1_500;
     private static final long PIECE_INTERVAL_MILLIS = 50;
     private static final String POST =
@@ -222,6 +227,42 @@
         });
     }
 
+    /**
+     * Guards against attempts for clients that have left: their close lies behind input that is still unread, while
+     * others send costly input. An attempt must not begin more than 0.1 s after the close.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void sendsNothingForClientsThatLeaveBehindUnreadInput(boolean reset) throws Exception {
+        Map<String, Long> closedNanos = new ConcurrentHashMap<>();
+        List<String> late = Collections.synchronizedList(new ArrayList<>());
+        StubServer.RequestHandler endpoint = (request, connection) -> {
+            String id = request.header("X-Txn");
+            Long closed = closedNanos.get(id);
+            if (closed != null && System.nanoTime() - closed > DISCONNECT_LIMIT_NANOS) {
+                late.add(id + " began " + (System.nanoTime() - closed) / 1_000_000 + " ms after the close");
+            }
+            connection.respond("200 OK", "", "ok");
+        };
+        assertDuring(Expectation.ANSWERED, endpoint, 1024, address -> {
+            String beginning = POST + "X-Txn: bad\r\nTransfer-Encoding: chunked\r\n\r\n";
+            try (BadClients clients = new BadClients(address, 150)) {
+                clients.send(beginning + "1\r\nx\r\n".repeat(65_000));
+                Thread.sleep(3 * PIECE_INTERVAL_MILLIS);
+                for (int number = 0; number < 12; number++) {
+                    String id = "left-" + number;
+                    try (StubServer.Client leaving = new StubServer.Client(address)) {
+                        leaving.send(post(id, 10) + beginning + "1\r\nx\r\n".repeat(10_000));
+                        leaving.socket.setSoLinger(reset, 0);
+                    }
+                    closedNanos.put(id, System.nanoTime());
+                }
+                Thread.sleep(SENDING_MILLIS);
+            }
+        });
+        assertEquals(List.of(), late);
+    }
+
     private static String post(String id, int bodyBytes) {
         return POST + "X-Txn: " + id + "\r\nContent-Length: " + bodyBytes + "\r\n\r\n" + "x".repeat(bodyBytes);
     }
--- a/src/test/java/loadbalancer/proxy/client/RequestDispatcherTest.java
+++ b/src/test/java/loadbalancer/proxy/client/RequestDispatcherTest.java
@@ -91,6 +91,7 @@
                 new Request(id, Request.NO_ROUTING_KEY, false, false, 0, 20_000_000, "t", "c"),
                 new RequestPayload(HttpMethod.GET, "/api", null, new byte[0]),
                 clock.nowMicros() + 20_000_000,
+                () -> true,
                 new ResponseHandler() {
                     @Override
                     public void onServed(ByteBuf body) {
--- a/src/test/java/loadbalancer/proxy/upstream/UpstreamConnectionPoolTest.java
+++ b/src/test/java/loadbalancer/proxy/upstream/UpstreamConnectionPoolTest.java
@@ -14,6 +14,8 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import loadbalancer.proxy.eventloop.MonotonicClock;
 import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
 import loadbalancer.proxy.observability.TrafficStatistics;
@@ -72,9 +74,14 @@
     }
 
     private UpstreamCall newCall(String endpoint) {
+        return newCall(endpoint, 20_000_000, () -> true);
+    }
+
+    private UpstreamCall newCall(String endpoint, long timeoutMicros, BooleanSupplier clientInputRead) {
         return UpstreamCall.attempt(
                 endpoint,
-                clock.nowMicros() + 20_000_000,
+                clock.nowMicros() + timeoutMicros,
+                clientInputRead,
                 remainingMicros -> new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"),
                 (call, outcome, loadReport, body) -> outcomes.add(endpoint + " " + outcome));
     }
@@ -130,6 +137,26 @@
         }
     }
 
+    /** The client may have disconnected behind input that is still unread, which is no fault of the endpoint. */
+    @Test
+    void writesCallOnlyOnceInputOfClientIsRead() throws Exception {
+        AtomicBoolean clientInputRead = new AtomicBoolean();
+        try (StubServer server = new StubServer(RESPONDING)) {
+            UpstreamConnectionPool pool = newPool(ENDPOINT_IDLE_TIMEOUT_MICROS, 100);
+            loop.execute(() -> {
+                pool.updateEndpoints(list(true, ready("u", server)));
+                pool.startCall(newCall("u", 200_000, clientInputRead::get));
+            });
+            assertEquals("u NOT_SENT", nextOutcome());
+            assertTrue(server.receivedRequests.isEmpty(), "a request was sent");
+            loop.execute(() -> {
+                pool.startCall(newCall("u", 20_000_000, clientInputRead::get));
+                loop.schedule(() -> clientInputRead.set(true), 50, TimeUnit.MILLISECONDS);
+            });
+            assertEquals("u OK", nextOutcome());
+        }
+    }
+
     /** Each full snapshot lists unchanged endpoints again. Their connections must stay open. */
     @Test
     void keepsConnectionsAfterUnchangedList() throws Exception {
