The id of an executed request that comes again gets 400 instead of a second run

Cause: ids were known only while their request was open.

Change: ids of ended requests that were written to an endpoint are remembered, within a number that follows from the memory limit and a share for each connection. An id that was never written may come again.

The new test fails before (200 instead of 400).

--- a/src/main/java/loadbalancer/proxy/client/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientConnection.java
@@ -6,11 +6,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.CodecException;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import loadbalancer.proxy.client.ConnectionCloseLog.Reason;
@@ -18,7 +15,6 @@
 import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
 import loadbalancer.proxy.memory.PeerGroup;
 import loadbalancer.proxy.observability.SidecarLog;
-import loadbalancer.proxy.protocol.HeaderValues;
 
 /**
  * One connection of a client. Handles the requests one at a time, in the order in which they were received, and writes
@@ -28,11 +24,7 @@
  * pending; then the connection closes. A client that closes the connection, or only its sending side, counts as
  * disconnected: its request ends without a response.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter {
-    private static final String READINESS_PATH = "/health/ready";
-    private static final String API_PATH = "/api";
-    private static final String API_PATH_PREFIX = "/api/";
-
+final class ClientConnection extends ChannelInboundHandlerAdapter implements RequestSource {
     private enum State {
         AWAITING_REQUEST,
         /** A request is being handled and has no response yet. */
@@ -58,6 +50,7 @@
     private RequestExchange currentExchange;
 
     private final IdleCount idleCount;
+    private final RecentRequestIds.Share recentIds = new RecentRequestIds.Share();
     /**
      * The status of the error response that is written after all pending responses, before closing; null while the
      * input is valid.
@@ -191,7 +184,9 @@
         } catch (RuntimeException e) {
             SidecarLog.error("request_handler_failed request=" + RequestParser.requestId(message), e);
             if (state == State.RESPONSE_PENDING) {
-                write(ClientResponse.withoutBody(HttpResponseStatus.INTERNAL_SERVER_ERROR), requestedReuse(message));
+                write(
+                        ClientResponse.withoutBody(HttpResponseStatus.INTERNAL_SERVER_ERROR),
+                        ConnectionReuse.requestedBy(message));
             }
         } finally {
             message.release();
@@ -199,32 +194,25 @@
     }
 
     private void route(ReceivedRequest received) {
-        FullHttpRequest message = received.message();
-        String path = HeaderValues.path(message.uri());
-        if (received.rejected()) {
-            write(ClientResponse.rejected(), requestedReuse(message));
-        } else if (path.equals(READINESS_PATH) && message.method().equals(HttpMethod.GET)) {
-            HttpResponseStatus status =
-                    server.isReady() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
-            write(ClientResponse.withoutBody(status), requestedReuse(message));
-        } else if (path.equals(API_PATH) || path.startsWith(API_PATH_PREFIX)) {
+        ClientResponse localResponse = server.localResponses().responseTo(received);
+        if (localResponse == null) {
             dispatch(received);
         } else {
-            write(ClientResponse.withoutBody(HttpResponseStatus.NOT_FOUND), requestedReuse(message));
+            write(localResponse, ConnectionReuse.requestedBy(received.message()));
         }
     }
 
     private void dispatch(ReceivedRequest received) {
         if (server.messageMemory().isExhausted(PeerGroup.CLIENTS)) {
             server.messageMemory().requestRejected();
-            write(ClientResponse.rejected(), requestedReuse(received.message()));
+            write(ClientResponse.rejected(), ConnectionReuse.requestedBy(received.message()));
             return;
         }
         try {
             currentExchange = exchangeFactory.create(
                     received,
-                    () -> !eventLoop.mayHaveUnreadInput(channel),
-                    new FinalResponseWriter(this::write, requestedReuse(received.message())));
+                    this,
+                    new FinalResponseWriter(this::write, ConnectionReuse.requestedBy(received.message())));
         } catch (InvalidRequestException e) {
             write(ClientResponse.withoutBody(HttpResponseStatus.BAD_REQUEST), ConnectionReuse.CLOSE);
             return;
@@ -234,10 +222,6 @@
         dispatcher.dispatch(currentExchange);
     }
 
-    private static ConnectionReuse requestedReuse(FullHttpRequest message) {
-        return HttpUtil.isKeepAlive(message) ? ConnectionReuse.KEEP_ALIVE : ConnectionReuse.CLOSE;
-    }
-
     /**
      * Writes a final response. Keeps the connection open only if the client requested that and the server allows it.
      */
@@ -303,6 +287,16 @@
         memory.update();
     }
 
+    @Override
+    public boolean isInputRead() {
+        return !eventLoop.mayHaveUnreadInput(channel);
+    }
+
+    @Override
+    public RecentRequestIds.Share recentIds() {
+        return recentIds;
+    }
+
     /** Returns whether a request that was received completely has no response yet. */
     private boolean hasUnansweredRequest() {
         return state == State.RESPONSE_PENDING || !pipelinedRequests.isEmpty();
@@ -329,8 +323,7 @@
             return null;
         }
         boolean used = activity.hasReceivedRequest() || activity.isReceivingRequest();
-        boolean unread = eventLoop.maxUnreadMicros(channel) > 0;
-        long silentMicros = unread ? 0 : readMicros - activity.lastActivityMicros();
+        long silentMicros = isInputRead() ? readMicros - activity.lastActivityMicros() : 0;
         return EvictionCandidate.of(this, used, silentMicros, activity.receivingMicros(readMicros));
     }
 
@@ -395,10 +388,8 @@
     /** Handles exceptions from all handlers of the pipeline, and I/O errors of the channel. */
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        if (cause instanceof TooLongFrameException) {
-            rejectInput(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, Reason.INVALID_INPUT);
-        } else if (cause instanceof CodecException) {
-            rejectInput(HttpResponseStatus.BAD_REQUEST, Reason.INVALID_INPUT);
+        if (cause instanceof CodecException invalidInput) {
+            rejectInput(RequestInput.errorStatus(invalidInput), Reason.INVALID_INPUT);
         } else {
             if (!(cause instanceof IOException)) {
                 SidecarLog.error("client_connection_failed", cause);
--- a/src/main/java/loadbalancer/proxy/client/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/client/RequestDispatcher.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import loadbalancer.decision.AttemptOutcome;
 import loadbalancer.decision.AttemptResult;
 import loadbalancer.decision.LoadReport;
@@ -54,6 +55,8 @@
     /** The requests that are not completed, ordered by deadline, the earliest first. */
     private final TreeSet<RequestExchange> exchangesByDeadline = new TreeSet<>(
             Comparator.comparingLong(RequestExchange::deadlineMicros).thenComparing(RequestExchange::requestId));
+    /** Receives each exchange that has ended. */
+    private Consumer<RequestExchange> onEnded = exchange -> {};
     /**
      * The timer that runs {@link #checkDeadlines} when the first request in {@link #exchangesByDeadline} becomes
      * overdue, or earlier; null if none is scheduled.
@@ -88,6 +91,11 @@
         maxAttempts = attempts;
     }
 
+    /** Sets what receives each exchange that has ended. Called before the first request is dispatched. */
+    void setEndListener(Consumer<RequestExchange> listener) {
+        onEnded = listener;
+    }
+
     /** Returns the number of requests that are not completed or still have an attempt in flight. */
     public int openRequestCount() {
         return exchanges.size();
@@ -231,7 +239,7 @@
         return UpstreamCall.attempt(
                 endpointId,
                 attemptDeadlineMicros,
-                exchange::isClientInputRead,
+                exchange.source()::isInputRead,
                 remainingMicros -> exchange.payload().toHttpRequest(exchange.requestId(), remainingMicros),
                 (call, outcome, report, body) -> {
                     attemptEnded(exchange, call, outcome, body);
@@ -338,8 +346,8 @@
     }
 
     private void removeIfEnded(RequestExchange exchange) {
-        if (exchange.hasEnded()) {
-            exchanges.remove(exchange.requestId());
+        if (exchange.hasEnded() && exchanges.remove(exchange.requestId()) != null) {
+            onEnded.accept(exchange);
         }
     }
 }
--- a/src/main/java/loadbalancer/proxy/client/RequestExchange.java
+++ b/src/main/java/loadbalancer/proxy/client/RequestExchange.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.BooleanSupplier;
 import loadbalancer.decision.Request;
 import loadbalancer.proxy.upstream.UpstreamCall;
 
@@ -18,7 +17,7 @@
     private RequestPayload payload;
 
     private final long deadlineMicros;
-    private final BooleanSupplier clientInputRead;
+    private final RequestSource source;
     private final ResponseHandler responseHandler;
     private final List<UpstreamCall> attempts = new ArrayList<>(1);
     private long dispatchedMicros;
@@ -28,18 +27,18 @@
      * Creates the exchange of a request that has no attempt yet.
      *
      * @param deadlineMicros the time by which the response has to be written
-     * @param clientInputRead returns whether all input of the client has been read
+     * @param source the connection that the request came from
      */
     RequestExchange(
             Request request,
             RequestPayload payload,
             long deadlineMicros,
-            BooleanSupplier clientInputRead,
+            RequestSource source,
             ResponseHandler responseHandler) {
         this.request = request;
         this.payload = payload;
         this.deadlineMicros = deadlineMicros;
-        this.clientInputRead = clientInputRead;
+        this.source = source;
         this.responseHandler = responseHandler;
     }
 
@@ -60,9 +59,8 @@
         return deadlineMicros;
     }
 
-    /** Returns whether all input of the client has been read, so that it is known whether it has disconnected. */
-    boolean isClientInputRead() {
-        return clientInputRead.getAsBoolean();
+    RequestSource source() {
+        return source;
     }
 
     ResponseHandler responseHandler() {
@@ -93,6 +91,11 @@
         payload = null;
     }
 
+    /** Returns whether an endpoint may have executed the request. */
+    boolean mayHaveBeenExecuted() {
+        return attempts.stream().anyMatch(UpstreamCall::isWritten);
+    }
+
     boolean hasAttemptInFlight() {
         return !attempts.stream().allMatch(UpstreamCall::hasEnded);
     }
--- a/src/main/java/loadbalancer/proxy/client/RequestExchangeFactory.java
+++ b/src/main/java/loadbalancer/proxy/client/RequestExchangeFactory.java
@@ -1,6 +1,5 @@
 package loadbalancer.proxy.client;
 
-import java.util.function.BooleanSupplier;
 import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
 
 /**
@@ -26,6 +25,7 @@
     private final ReadTrackingEventLoop eventLoop;
     private final RequestParser parser;
     private final RequestDispatcher dispatcher;
+    private final RecentRequestIds recentRequestIds;
     private final GracefulShutdown shutdown;
 
     /** {@code shutdown} limits the deadlines to {@link GracefulShutdown#latestResponseMicros}. */
@@ -33,34 +33,36 @@
             ReadTrackingEventLoop eventLoop,
             RequestParser parser,
             RequestDispatcher dispatcher,
+            RecentRequestIds recentRequestIds,
             GracefulShutdown shutdown) {
         this.eventLoop = eventLoop;
         this.parser = parser;
         this.dispatcher = dispatcher;
+        this.recentRequestIds = recentRequestIds;
         this.shutdown = shutdown;
     }
 
     /**
      * Creates the exchange for a request.
      *
-     * @param clientInputRead returns whether all input of the client has been read
+     * @param source the connection that the request came from
      * @param responseHandler receives the response
-     * @throws InvalidRequestException if the request is invalid, or an open request has the same id
+     * @throws InvalidRequestException if the request is invalid, an open request has the same id, or a former one had
+     *     it that may have been executed
      */
-    RequestExchange create(ReceivedRequest received, BooleanSupplier clientInputRead, ResponseHandler responseHandler)
+    RequestExchange create(ReceivedRequest received, RequestSource source, ResponseHandler responseHandler)
             throws InvalidRequestException {
         ParsedRequest parsed = parser.parse(received.message());
         if (dispatcher.isOpen(parsed.id())) {
             throw new InvalidRequestException("expected a request id that no other open request has");
         }
+        if (recentRequestIds.contains(parsed.id())) {
+            throw new InvalidRequestException("expected a request id that no executed request had");
+        }
         long deadlineMicros = deadlineMicros(received, parsed.remainingMicros());
         long untilDeadlineMicros = deadlineMicros - eventLoop.clock().nowMicros();
         return new RequestExchange(
-                parsed.toRequest(untilDeadlineMicros),
-                parsed.payload(),
-                deadlineMicros,
-                clientInputRead,
-                responseHandler);
+                parsed.toRequest(untilDeadlineMicros), parsed.payload(), deadlineMicros, source, responseHandler);
     }
 
     private long deadlineMicros(ReceivedRequest received, long remainingMicros) {
--- a/src/main/java/loadbalancer/proxy/client/RequestInput.java
+++ b/src/main/java/loadbalancer/proxy/client/RequestInput.java
@@ -2,7 +2,10 @@
 
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.CodecException;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import loadbalancer.proxy.memory.ContentAccumulator;
@@ -34,6 +37,13 @@
                 connection);
     }
 
+    /** Returns the status of the response to input that the handlers can't decode. */
+    static HttpResponseStatus errorStatus(CodecException cause) {
+        return cause instanceof TooLongFrameException
+                ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
+                : HttpResponseStatus.BAD_REQUEST;
+    }
+
     /** Returns the estimated memory of the incomplete request. */
     long heldBytes() {
         return discarded ? 0 : decoder.undecodedBytes() + decoder.headBytes() + body.heldBytes();
--- a/src/main/java/loadbalancer/proxy/client/SidecarHttpServer.java
+++ b/src/main/java/loadbalancer/proxy/client/SidecarHttpServer.java
@@ -32,7 +32,9 @@
     private final TrafficStatistics statistics;
     private final MessageMemory messageMemory;
     private final ClientConnections connections;
+    private final RecentRequestIds recentRequestIds;
     private final ConnectionCloseLog closeLog = new ConnectionCloseLog();
+    private final LocalResponses localResponses = new LocalResponses(this::isReady);
     private final ClientListener listener;
     private final GracefulShutdown shutdown;
     /** Called with each request during the warm-up; null if no warm-up is in progress. */
@@ -63,8 +65,10 @@
         connections = new ClientConnections(limits);
         listener = new ClientListener(eventLoop, this::connectionAccepted, this::admissibleConnectionCount);
         shutdown = new GracefulShutdown(eventLoop, listener, connections, this.requestClasses);
-        exchangeFactory =
-                new RequestExchangeFactory(eventLoop, new RequestParser(this.requestClasses), dispatcher, shutdown);
+        recentRequestIds = new RecentRequestIds(messageMemory.limitBytes());
+        dispatcher.setEndListener(this::requestEnded);
+        exchangeFactory = new RequestExchangeFactory(
+                eventLoop, new RequestParser(this.requestClasses), dispatcher, recentRequestIds, shutdown);
     }
 
     /** Replaces the request classes. Requests that are already dispatched keep their class and deadline. */
@@ -82,7 +86,8 @@
      * leading space.
      */
     public String summarizeConnectionsAndReset() {
-        return connections.summarizeAndReset() + " accept_paused_millis=" + listener.resetPausedMicros() / 1_000;
+        return connections.summarizeAndReset() + " accept_paused_millis=" + listener.resetPausedMicros() / 1_000
+                + " remembered_request_ids=" + recentRequestIds.size();
     }
 
     /**
@@ -121,6 +126,10 @@
         return messageMemory;
     }
 
+    LocalResponses localResponses() {
+        return localResponses;
+    }
+
     ConnectionCloseLog closeLog() {
         return closeLog;
     }
@@ -150,6 +159,12 @@
         connections.idleConnectionRemoved();
     }
 
+    private void requestEnded(RequestExchange exchange) {
+        if (exchange.mayHaveBeenExecuted()) {
+            recentRequestIds.add(exchange.requestId(), exchange.source().recentIds());
+        }
+    }
+
     private int admissibleConnectionCount() {
         return isShuttingDown()
                 ? Math.max(1, limits.freeDescriptors().getAsInt())
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamCall.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamCall.java
@@ -173,7 +173,7 @@
     }
 
     /** Returns whether the last byte of the request has been written. */
-    boolean isWritten() {
+    public boolean isWritten() {
         return written;
     }
 
--- a/src/test/java/loadbalancer/proxy/client/MalformedInputTest.java
+++ b/src/test/java/loadbalancer/proxy/client/MalformedInputTest.java
@@ -220,6 +220,47 @@
         }
     }
 
+    /**
+     * Guards against a request that is executed a second time, because it comes again with the same id after its client
+     * has left. One that no endpoint has received may come again.
+     */
+    @Test
+    void rejectsIdOfExecutedRequestWhoseClientHasLeft() throws Exception {
+        try (SidecarFixture fixture = new SidecarFixture()) {
+            StubServer endpoint = fixture.addEndpoint((request, connection) -> {
+                StubServer.sleep(50);
+                connection.respond("200 OK", "", "served");
+            });
+            fixture.onRequest = (nowMicros, request, actions) -> {
+                if (!request.id().startsWith("queued")) {
+                    actions.sendAttempt(request.id(), "u0", 0);
+                }
+            };
+            fixture.start();
+            for (String id : List.of("executed-first", "executed-second", "queued")) {
+                StubServer.Client leaving = fixture.client();
+                leaving.send(SidecarFixture.idempotentRequest(id, 20_000));
+                fixture.awaitEvent("request " + id);
+                if (!id.equals("queued")) {
+                    assertEquals(id, endpoint.nextRequest().header("X-Txn"));
+                }
+                leaving.close();
+                fixture.awaitEvent("expired " + id);
+            }
+            // Then the attempts have ended too.
+            fixture.awaitEvent("outcome executed-second");
+            for (String id : List.of("executed-first", "executed-second")) {
+                try (StubServer.Client again = fixture.client()) {
+                    assertStatus(400, again, SidecarFixture.idempotentRequest(id, 20_000));
+                }
+            }
+            fixture.onRequest = (nowMicros, request, actions) -> actions.sendAttempt(request.id(), "u0", 0);
+            try (StubServer.Client again = fixture.client()) {
+                assertStatus(200, again, SidecarFixture.idempotentRequest("queued", 20_000));
+            }
+        }
+    }
+
     /** A start while no endpoint is left must not fail; it may take long until there is one. */
     @Test
     void reportsReadyWithoutEndpointOnceDiscoveryHasAnswered() throws Exception {
--- a/src/test/java/loadbalancer/proxy/client/RequestDispatcherTest.java
+++ b/src/test/java/loadbalancer/proxy/client/RequestDispatcherTest.java
@@ -91,7 +91,7 @@
                 new Request(id, Request.NO_ROUTING_KEY, false, false, 0, 20_000_000, "t", "c"),
                 new RequestPayload(HttpMethod.GET, "/api", null, new byte[0]),
                 clock.nowMicros() + 20_000_000,
-                () -> true,
+                source,
                 new ResponseHandler() {
                     @Override
                     public void onServed(ByteBuf body) {
@@ -111,6 +111,18 @@
                 });
     }
 
+    private final RequestSource source = new RequestSource() {
+        @Override
+        public boolean isInputRead() {
+            return true;
+        }
+
+        @Override
+        public RecentRequestIds.Share recentIds() {
+            return new RecentRequestIds.Share();
+        }
+    };
+
     private void awaitEvent(String expected) throws InterruptedException {
         for (String event; (event = events.poll(20, TimeUnit.SECONDS)) != null; ) {
             if (event.equals(expected)) {
