Fault soak: costly and half-written crowds, a client at full speed, ids that come again

The soak did not find the faults that the review and the operators reported. It now opens more half-written connections than the sidecar admits, sends long requests in very short chunks, lets clients leave behind unread input, repeats the ids of executed requests after their clients have left, and floods one connection with small requests of new names. One request in ten has a long body. The checker judges repeated ids; its test plants one.

--- a/src/main/java/loadbalancer/soak/ClientConnection.java
+++ b/src/main/java/loadbalancer/soak/ClientConnection.java
@@ -68,6 +68,7 @@
         left = true;
         for (OpenRequest request : openRequests) {
             owner.record(request, ClientOutcome.CLIENT_LEFT, 0, "", this);
+            owner.mayRepeatIdAfterLeaving(request, process);
         }
         openRequests.clear();
         channel.close();
--- a/src/main/java/loadbalancer/soak/ClientStandIn.java
+++ b/src/main/java/loadbalancer/soak/ClientStandIn.java
@@ -21,6 +21,7 @@
 import java.util.function.IntSupplier;
 import loadbalancer.soak.History.ClientOutcome;
 import loadbalancer.soak.History.ClientRequest;
+import loadbalancer.soak.History.RepeatedId;
 import org.HdrHistogram.Histogram;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -36,10 +37,34 @@
     /** With the other clients, nearly all connections that the sidecar admits. */
     private static final int STALLED_CONNECTIONS = 140;
 
+    /** More than the sidecar admits. */
+    private static final int HALF_WRITTEN_CONNECTIONS = 300;
+
+    private static final int COSTLY_CONNECTIONS = 140;
+    /** Clients that leave behind unread input while the costly connections are read. */
+    private static final int LEAVING_CONNECTIONS = 6;
+
+    private static final long LEAVING_DELAY_MILLIS = 150;
+    private static final String BEGINNING_BEHIND_REQUEST =
+            "POST /api HTTP/1.1\r\nHost: api\r\nTransfer-Encoding: chunked\r\n\r\n" + "1\r\nx\r\n".repeat(10_000);
+
+    /** Requests on new connections that come right after a crowd. */
+    private static final int REQUESTS_AFTER_CROWD = 10;
+
+    private static final long REQUEST_AFTER_CROWD_INTERVAL_MILLIS = 20;
+    private static final double REPEAT_ID_PROBABILITY = 0.5;
+    private static final int MIN_REPEAT_DELAY_MILLIS = 110;
+    private static final int MAX_REPEAT_DELAY_MILLIS = 600;
+
     private static final double MEAN_ARRIVAL_INTERVAL_MICROS = 18_000;
     private static final double LEAVE_PROBABILITY = 0.04;
     private static final double PIPELINE_PROBABILITY = 0.03;
     private static final int PIPELINED_REQUESTS = 3;
+    /** Clients wait for at least this part of the deadline of the class. */
+    private static final double MIN_REMAINING_RATIO = 0.4;
+
+    private static final double LONG_BODY_PROBABILITY = 0.1;
+    private static final int LONG_BODY_BYTES = 60_000;
     private static final double STALL_PROBABILITY = 0.01;
 
     private final int sidecar;
@@ -128,6 +153,113 @@
         }
     }
 
+    /**
+     * Opens more connections than the sidecar admits, all at once. Half of them send nothing, the others the start of a
+     * request. Has no effect while other bad clients are connected.
+     */
+    void halfWrittenCrowd() {
+        if (crowd > 0 || stalledCrowd > 0) {
+            return;
+        }
+        for (int i = 0; i < HALF_WRITTEN_CONNECTIONS; i++) {
+            boolean silent = i % 2 == 0;
+            connect(channel -> {
+                crowd++;
+                channel.closeFuture().addListener(closed -> crowd--);
+                if (!silent) {
+                    channel.writeAndFlush(RawHttp.bytes("POST /api HTTP/1.1\r\nHost: api\r\n"));
+                }
+            });
+        }
+        sendOnNewConnections(0);
+    }
+
+    private void sendOnNewConnections(int bodyBytes) {
+        for (int i = 1; i <= REQUESTS_AFTER_CROWD; i++) {
+            context.loop()
+                    .schedule(
+                            () -> sendOnNewConnection(List.of(newRequest(bodyBytes))),
+                            i * REQUEST_AFTER_CROWD_INTERVAL_MILLIS,
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Draws a request whose client waits for the shortest time that clients of its class wait. */
+    private OpenRequest newRequest(int bodyBytes) {
+        RequestKind kind = context.settings().drawKind(random);
+        long remainingMicros = (long) (kind.deadlineMicros() * MIN_REMAINING_RATIO);
+        return new OpenRequest(newId(kind), kind, remainingMicros / 1_000 * 1_000, bodyBytes);
+    }
+
+    private String newId(RequestKind kind) {
+        return "c%d-%d-%d"
+                .formatted(sidecar, requestCount++, context.settings().kinds().indexOf(kind));
+    }
+
+    /**
+     * Opens many connections whose clients send a request in very short chunks and stay. A little later some clients
+     * send a request with much behind it and leave. Has no effect while other bad clients are connected.
+     */
+    void costlyCrowd() {
+        if (crowd > 0 || stalledCrowd > 0) {
+            return;
+        }
+        for (int i = 0; i < COSTLY_CONNECTIONS; i++) {
+            connect(channel -> {
+                stalledCrowd++;
+                channel.closeFuture().addListener(closed -> stalledCrowd--);
+                stalledClients.sendShortChunks(channel);
+            });
+        }
+        sendOnNewConnections(LONG_BODY_BYTES);
+        context.loop()
+                .schedule(
+                        () -> {
+                            for (int i = 0; i < LEAVING_CONNECTIONS; i++) {
+                                leaveBehindUnreadInput(newRequests(1));
+                            }
+                        },
+                        LEAVING_DELAY_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void leaveBehindUnreadInput(List<OpenRequest> requests) {
+        connect(channel -> {
+            ClientConnection connection = new ClientConnection(this, channel, context, false);
+            connection.send(requests, process.getAsInt());
+            channel.writeAndFlush(RawHttp.bytes(BEGINNING_BEHIND_REQUEST));
+            connection.leave();
+        });
+    }
+
+    /**
+     * Sends the id of a request that has been executed once more, some time after its client has left, unless the
+     * sidecar has been started again.
+     */
+    void mayRepeatIdAfterLeaving(OpenRequest request, int processOfRequest) {
+        if (random.nextDouble() >= REPEAT_ID_PROBABILITY) {
+            return;
+        }
+        int delayMillis = MIN_REPEAT_DELAY_MILLIS + random.nextInt(MAX_REPEAT_DELAY_MILLIS - MIN_REPEAT_DELAY_MILLIS);
+        context.loop().schedule(() -> repeatId(request, processOfRequest), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void repeatId(OpenRequest request, int processOfRequest) {
+        boolean executed = context.history().endpointCalls.stream()
+                .anyMatch(call -> call.executed() && call.requestId().equals(request.id));
+        if (!executed) {
+            return;
+        }
+        connect(channel -> {
+            long nowMicros = context.clock().nowMicros();
+            if (process.getAsInt() == processOfRequest) {
+                context.history().repeatedIds.add(new RepeatedId(request.id, processOfRequest, nowMicros));
+                channel.writeAndFlush(RawHttp.bytes(request.text()));
+            }
+            context.loop().schedule((Runnable) channel::close, 1, TimeUnit.SECONDS);
+        });
+    }
+
     private void scheduleArrival() {
         if (!sending) {
             return;
@@ -160,12 +292,12 @@
      */
     private List<OpenRequest> newRequests(int count) {
         RequestKind kind = context.settings().drawKind(random);
-        int kindNumber = context.settings().kinds().indexOf(kind);
-        long remainingMicros = (long) (kind.deadlineMicros() * (0.4 + 0.6 * random.nextDouble()));
+        double remainingRatio = MIN_REMAINING_RATIO + (1 - MIN_REMAINING_RATIO) * random.nextDouble();
+        long remainingMicros = (long) (kind.deadlineMicros() * remainingRatio);
         List<OpenRequest> requests = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            String id = "c%d-%d-%d".formatted(sidecar, requestCount++, kindNumber);
-            requests.add(new OpenRequest(id, kind, remainingMicros / 1_000 * 1_000));
+            int bodyBytes = random.nextDouble() < LONG_BODY_PROBABILITY ? LONG_BODY_BYTES : 0;
+            requests.add(new OpenRequest(newId(kind), kind, remainingMicros / 1_000 * 1_000, bodyBytes));
         }
         return requests;
     }
--- a/src/main/java/loadbalancer/soak/Fault.java
+++ b/src/main/java/loadbalancer/soak/Fault.java
@@ -50,6 +50,12 @@
         CLIENT_CROWD,
         /** Many clients send most of a long request in pieces, stop and stay. */
         STALLED_CROWD,
+        /** Many clients connect at once; half of them send nothing, the others a few bytes, and all stay. */
+        HALF_WRITTEN_CROWD,
+        /** Many clients send very short chunks and stay; some others leave behind much that is unread. */
+        COSTLY_CROWD,
+        /** One client sends small requests at full speed, all with new names. */
+        CLIENT_FLOOD,
         /** The wall clock of all machines is stepped. */
         CLOCK_STEP_ALL,
         /** The wall clock of a sidecar is stepped. */
--- a/src/main/java/loadbalancer/soak/FaultInjector.java
+++ b/src/main/java/loadbalancer/soak/FaultInjector.java
@@ -68,6 +68,7 @@
                 case KILL -> processFaults.killAndStart(fault.sidecar());
                 case STOP_SHORT -> processFaults.stop(fault.sidecar(), 100 + fault.variant() % 40);
                 case STOP_LONG -> processFaults.stop(fault.sidecar(), 300 + fault.variant() % 500);
+                case CLIENT_FLOOD -> FloodingClient.run(world.clientAddress(fault.sidecar()), fault.durationMicros());
                 case CLOCK_STEP_ONE -> processFaults.stepClock(fault.sidecar(), clockStep(fault));
                 case SYSTEM_CALLS_FAIL -> processFaults.failSystemCalls(fault.sidecar(), FAILURES_PER_THOUSAND);
                 default -> context.loop().execute(() -> injectOnLoop(fault));
@@ -119,6 +120,8 @@
                     () -> world.endpoints().forEach(each -> each.setFaultProbability(BROKEN_RESPONSE_PROBABILITY)),
                     () -> world.endpoints().forEach(each -> each.setFaultProbability(0)));
             case STALLED_CROWD -> world.client(fault.sidecar()).stallCrowd();
+            case HALF_WRITTEN_CROWD -> world.client(fault.sidecar()).halfWrittenCrowd();
+            case COSTLY_CROWD -> world.client(fault.sidecar()).costlyCrowd();
             case CLIENT_CROWD -> world.client(fault.sidecar()).crowd(fault.durationMicros());
             case CLOCK_STEP_ALL -> stepAllClocks(clockStep(fault));
             default -> throw new IllegalStateException("not a fault of the stand-ins: " + fault.type());
--- a/src/main/java/loadbalancer/soak/FaultPlan.java
+++ b/src/main/java/loadbalancer/soak/FaultPlan.java
@@ -31,6 +31,7 @@
             Map.entry(Type.ALL_REMOVED, 3_000_000L),
             Map.entry(Type.RESPONSES_BROKEN, 4_000_000L),
             Map.entry(Type.CLIENT_CROWD, 2_000_000L),
+            Map.entry(Type.CLIENT_FLOOD, 2_000_000L),
             Map.entry(Type.SYSTEM_CALLS_FAIL, 4_000_000L)));
 
     private FaultPlan() {}
--- a/src/main/java/loadbalancer/soak/History.java
+++ b/src/main/java/loadbalancer/soak/History.java
@@ -110,6 +110,9 @@
     /** A client that sends part of a request and stops; {@code endedMicros} is when it got its error or close. */
     record StalledClient(int process, long openedMicros, long endedMicros) {}
 
+    /** A request that was sent again with the id of one that had been executed and whose client had left. */
+    record RepeatedId(String id, int process, long sentMicros) {}
+
     /** Use of resources by a process at one time. */
     record ResourceSample(int process, long atMicros, int descriptors, long residentBytes) {}
 
@@ -137,6 +140,7 @@
     final List<DiscoveryTrouble> discoveryTroubles = new ArrayList<>();
     final List<ProcessEvent> processEvents = new ArrayList<>();
     final List<StalledClient> stalledClients = new ArrayList<>();
+    final List<RepeatedId> repeatedIds = new ArrayList<>();
     final List<ResourceSample> resourceSamples = new ArrayList<>();
     final List<MeasurementLag> measurementLags = new ArrayList<>();
     final List<ProcessorWait> processorWaits = new ArrayList<>();
--- a/src/main/java/loadbalancer/soak/HistoryChecker.java
+++ b/src/main/java/loadbalancer/soak/HistoryChecker.java
@@ -16,6 +16,7 @@
             new SlowStartCheck(),
             new PassedDeadlineCheck(),
             new DisconnectCheck(),
+            new RepeatedIdCheck(),
             new StalledClientCheck(),
             new ProcessCheck());
 
--- a/src/main/java/loadbalancer/soak/SoakWorld.java
+++ b/src/main/java/loadbalancer/soak/SoakWorld.java
@@ -77,12 +77,16 @@
                 .sync();
     }
 
+    /** Returns the address on which a sidecar listens for clients. */
+    InetSocketAddress clientAddress(int sidecar) {
+        return LoopbackAddresses.socketAddress(hosts.get(sidecar));
+    }
+
     private ClientStandIn newClient(int sidecar) {
-        InetSocketAddress address = LoopbackAddresses.socketAddress(hosts.get(sidecar));
         return new ClientStandIn(
                 sidecar,
                 context,
-                address,
+                clientAddress(sidecar),
                 () -> processNumber(sidecar),
                 () -> context.clock().nowMicros() <= connectUntilMicros.get(sidecar),
                 latencyMicros);
--- a/src/main/java/loadbalancer/soak/StalledClientStandIn.java
+++ b/src/main/java/loadbalancer/soak/StalledClientStandIn.java
@@ -1,5 +1,7 @@
 package loadbalancer.soak;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
@@ -24,6 +26,10 @@
             + "\r\n\r\n" + "x".repeat(FIRST_PIECE_BYTES);
     private static final String PIECE = "x".repeat(PIECE_BYTES);
 
+    private static final int CHUNKS = 65_000;
+    private static final ByteBuf SHORT_CHUNKS = Unpooled.unreleasableBuffer(RawHttp.bytes(
+            "POST /api HTTP/1.1\r\nHost: api\r\nTransfer-Encoding: chunked\r\n\r\n" + "1\r\nx\r\n".repeat(CHUNKS)));
+
     private final SoakContext context;
     private final UniformRandomProvider random;
     private final IntSupplier process;
@@ -54,6 +60,12 @@
         }
     }
 
+    /** Sends a long request in very short chunks on a new connection and stops. */
+    void sendShortChunks(Channel channel) {
+        recordEnd(channel);
+        channel.writeAndFlush(SHORT_CHUNKS.duplicate());
+    }
+
     private void recordEnd(Channel channel) {
         long openedMicros = context.clock().nowMicros();
         int stalledAt = process.getAsInt();
--- a/src/test/java/loadbalancer/soak/FaultSoakTest.java
+++ b/src/test/java/loadbalancer/soak/FaultSoakTest.java
@@ -19,9 +19,12 @@
     @TempDir
     Path folder;
 
-    /** Seed 5 has clients that stop within long requests. */
+    /**
+     * Seed 2 has a client at full speed, seed 5 clients with costly input and such that stop within long requests, seed
+     * 22 more half-written connections than the sidecar admits.
+     */
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 5})
+    @ValueSource(longs = {1, 2, 3, 5, 22})
     void keepsRulesUnderFaults(long seed) throws Exception {
         FaultShim shim = FaultShim.compile(folder).orElse(null);
         SoakRun.Result result = new SoakRun(seed, LENGTH_SECONDS * 1_000_000, shim).play();
--- a/src/test/java/loadbalancer/soak/HistoryCheckerTest.java
+++ b/src/test/java/loadbalancer/soak/HistoryCheckerTest.java
@@ -13,6 +13,7 @@
 import loadbalancer.soak.History.ListedState;
 import loadbalancer.soak.History.ProcessEvent;
 import loadbalancer.soak.History.ProcessEventType;
+import loadbalancer.soak.History.RepeatedId;
 import loadbalancer.soak.History.ResourceSample;
 import loadbalancer.soak.History.StalledClient;
 import loadbalancer.soak.RequestKind.Idempotency;
@@ -134,6 +135,24 @@
         assertRules(Rule.WRONG_RESPONSE);
     }
 
+    @Test
+    void findsIdThatRunsAgainAfterItsClientHasLeft() {
+        request(SAFE, ClientOutcome.CLIENT_LEFT, SENT + 50_000, 0, "");
+        call("e0", 0, SENT, SENT + 10, true);
+        history.repeatedIds.add(new RepeatedId("r", PROCESS, SENT + 120_000));
+        assertRules();
+        request(SAFE, ClientOutcome.CLIENT_LEFT, SENT + 50_000, 0, "");
+        call("e0", 0, SENT, SENT + 10, true);
+        call("e1", 0, SENT + 140_000, SENT + 150_000, true);
+        history.repeatedIds.add(new RepeatedId("r", PROCESS, SENT + 140_000));
+        assertRules();
+        request(SAFE, ClientOutcome.CLIENT_LEFT, SENT + 50_000, 0, "");
+        call("e0", 0, SENT, SENT + 10, true);
+        call("e1", 0, SENT + 140_000, SENT + 150_000, true);
+        history.repeatedIds.add(new RepeatedId("r", PROCESS, SENT + 139_999));
+        assertRules(Rule.DUPLICATE);
+    }
+
     @Test
     void findsRepeatsThatTheClassForbids() {
         served(UNSAFE);
