Count waits in the backlog behind limited reads, and first reads that come late

What callers saw: endpoints were told more time than clients had left.

Cause: a wait counted only from a pause of the listener, and only if the request was read within 25 ms of the acceptance. Trace: bound of the wait 0, sent 0.5 to 0.7 s before; the kernel's ListenOverflows did not change; lag 0.

Change: a read of the listener that ends early starts a wait; a request read in the first read of all sockets since the acceptance counts as having waited, however late it is.

--- a/src/main/java/loadbalancer/proxy/client/AcceptBacklog.java
+++ b/src/main/java/loadbalancer/proxy/client/AcceptBacklog.java
@@ -3,17 +3,16 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import java.util.concurrent.TimeUnit;
 import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
 import loadbalancer.proxy.observability.LogRateLimit;
 import loadbalancer.proxy.observability.SidecarLog;
 
 /**
  * Pauses and resumes accepting connections on one listener, and computes an upper bound on the time that a connection
- * waited in the operating system's accept backlog because accepting was paused. That time counts against the deadline
- * of the connection's first request. A wait because the event loop is late is not included; see
- * {@link ReadTrackingEventLoop#currentLagMicros}. It is a handler in the listener's pipeline. Confined to the event
- * loop.
+ * waited in the operating system's accept backlog because accepting was paused, or because the reads of the listener
+ * accept a limited number. That time counts against the deadline of the connection's first request. A wait because the
+ * event loop is late is not included; see {@link ReadTrackingEventLoop#currentLagMicros}. It is a handler in the
+ * listener's pipeline. Confined to the event loop.
  *
  * <p>A failed accept pauses accepting, because the cause may last and the failure would be repeated without a pause.
  * {@link SidecarHttpServer#closeTimedOutConnections} resumes accepting within 100 ms.
@@ -25,8 +24,8 @@
     private final LogRateLimit failures = new LogRateLimit(1);
     private Channel listener;
     /**
-     * The earliest time at which connections can have begun to wait because accepting was paused; {@link #UNSET} if
-     * none can be waiting for this reason.
+     * The earliest time at which connections can have begun to wait because accepting was paused or limited;
+     * {@link #UNSET} if none can be waiting for this reason.
      */
     private long waitingSinceMicros = UNSET;
     /**
@@ -38,6 +37,8 @@
     private long pausedSinceMicros = UNSET;
 
     private long pausedMicros;
+    /** When the present read had accepted its connections, before they are set up; {@link #UNSET} between two reads. */
+    private long readStartMicros = UNSET;
 
     AcceptBacklog(ReadTrackingEventLoop eventLoop) {
         this.eventLoop = eventLoop;
@@ -63,8 +64,8 @@
             resumedMicros = nowMicros;
             pausedMicros += nowMicros - pausedSinceMicros;
             pausedSinceMicros = UNSET;
-            // Wakes the loop so that it reads all sockets; until then it is not known whether a connection was waiting.
-            eventLoop.nettyEventLoop().schedule(() -> {}, 1, TimeUnit.NANOSECONDS);
+            // Until then it is not known whether a connection was waiting.
+            eventLoop.readAllSocketsSoon();
         } else {
             resetWaitIfSocketsRead();
             waitingSinceMicros = waitingSinceMicros == UNSET ? nowMicros : waitingSinceMicros;
@@ -87,7 +88,7 @@
 
     /**
      * Returns the longest time, in microseconds, that a connection accepted now can have waited because accepting was
-     * paused; 0 if it can't have waited for this reason.
+     * paused or limited; 0 if it can't have waited for this reason.
      */
     long maxWaitMicros() {
         resetWaitIfSocketsRead();
@@ -114,11 +115,22 @@
         setAccepting(false);
     }
 
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object channel) {
+        if (readStartMicros == UNSET) {
+            readStartMicros = eventLoop.clock().nowMicros();
+        }
+        context.fireChannelRead(channel);
+    }
+
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        if (AcceptAllocator.moreMayWait(listener) && resumedMicros != UNSET) {
-            resumedMicros = eventLoop.clock().nowMicros();
+        if (AcceptAllocator.moreMayWait(listener)) {
+            waitingSinceMicros = waitingSinceMicros == UNSET ? readStartMicros : waitingSinceMicros;
+            resumedMicros = isAccepting() ? eventLoop.clock().nowMicros() : UNSET;
+            eventLoop.readAllSocketsSoon();
         }
+        readStartMicros = UNSET;
         context.fireChannelReadComplete();
     }
 }
--- a/src/main/java/loadbalancer/proxy/client/ClientConnection.java
+++ b/src/main/java/loadbalancer/proxy/client/ClientConnection.java
@@ -128,10 +128,10 @@
             rejectInput(HttpResponseStatus.BAD_REQUEST, Reason.INVALID_INPUT);
             return;
         }
-        // If the event loop is late or cuts reads short, the bytes arrived before they were read.
-        long unreadMicros = Math.max(eventLoop.currentLagMicros(), eventLoop.maxUnreadMicros(channel));
-        long sentMicros = activity.lastActivityMicros() - unreadMicros;
-        ReceivedRequest received = new ReceivedRequest(request, sentMicros, activity.maxRequestBacklogWaitMicros());
+        long lastReadMicros = eventLoop.lastReadMicros();
+        long sentMicros = activity.sentMicros(lastReadMicros, eventLoop.maxUnreadMicros(channel));
+        long maxBacklogWaitMicros = activity.maxRequestBacklogWaitMicros(lastReadMicros);
+        ReceivedRequest received = new ReceivedRequest(request, sentMicros, maxBacklogWaitMicros);
         pipelinedRequests.add(isReadyForNextRequest() ? received : received.withCopiedBody());
         activity.requestReceived();
         handlePipelinedRequests();
--- a/src/main/java/loadbalancer/proxy/client/ConnectionActivity.java
+++ b/src/main/java/loadbalancer/proxy/client/ConnectionActivity.java
@@ -1,7 +1,5 @@
 package loadbalancer.proxy.client;
 
-import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
-
 /**
  * Records when a client's connection was accepted and last used, and whether a request is partly received. All times
  * are in microseconds of the {@link loadbalancer.proxy.eventloop.MonotonicClock}. Confined to the event loop.
@@ -89,13 +87,29 @@
 
     /**
      * Returns the longest time, in microseconds, that the request whose last byte was just read can have waited in the
-     * accept backlog together with its connection. Returns 0 unless it is the connection's first request and was read
-     * less than {@link ReadTrackingEventLoop#MAX_READ_AGE_MICROS} after the connection was accepted. Must be called
-     * before {@link #requestReceived}.
+     * accept backlog together with its connection. Must be called before {@link #requestReceived}.
+     *
+     * @param lastReadMicros when the last read of all sockets began, without the one that is in progress
      */
-    long maxRequestBacklogWaitMicros() {
-        boolean readRightAfterAccept = lastActivityMicros - acceptedMicros < ReadTrackingEventLoop.MAX_READ_AGE_MICROS;
-        return !requestReceived && readRightAfterAccept ? maxBacklogWaitMicros : 0;
+    long maxRequestBacklogWaitMicros(long lastReadMicros) {
+        return isInFirstRead(lastReadMicros) ? maxBacklogWaitMicros : 0;
+    }
+
+    /**
+     * Returns the latest time at which the client can have sent the bytes that were just read, as far as that is known:
+     * they were unread for some time if the event loop is late or cuts reads short, or since the acceptance.
+     *
+     * @param lastReadMicros when the last read of all sockets began, without the one that is in progress
+     * @param maxUnreadMicros how long the event loop may have left the bytes unread
+     */
+    long sentMicros(long lastReadMicros, long maxUnreadMicros) {
+        long earliestMicros = lastActivityMicros - maxUnreadMicros;
+        return isInFirstRead(lastReadMicros) ? Math.min(acceptedMicros, earliestMicros) : earliestMicros;
+    }
+
+    /** Returns whether no request was received and no read of all sockets has been completed since the acceptance. */
+    private boolean isInFirstRead(long lastReadMicros) {
+        return !requestReceived && lastReadMicros <= acceptedMicros;
     }
 
     boolean isRequestTimedOut(long nowMicros) {
--- a/src/main/java/loadbalancer/proxy/eventloop/ReadTrackingEventLoop.java
+++ b/src/main/java/loadbalancer/proxy/eventloop/ReadTrackingEventLoop.java
@@ -148,6 +148,12 @@
         loop.schedule(this::runPendingAttemptStarts, 1, TimeUnit.NANOSECONDS);
     }
 
+    /** Makes the loop complete a read of all sockets soon after the present one, even if none of them is ready. */
+    public void readAllSocketsSoon() {
+        // A timer that is set while tasks run ends the next wait for sockets at once.
+        loop.execute(() -> loop.schedule(() -> {}, 1, TimeUnit.NANOSECONDS));
+    }
+
     /** Returns when the last read of all sockets began. All data that had arrived by then has been read. */
     public long lastReadMicros() {
         return lastReadMicros;
@@ -166,13 +172,13 @@
     }
 
     /**
-     * Returns for how long bytes of a connection may have waited in its socket because an iteration of the loop had no
-     * time left to read them, in microseconds; 0 if its last read was complete.
+     * Returns for how long bytes of a connection that are read now may have waited in its socket, in microseconds:
+     * because the loop is late, or because an earlier iteration had no time left to read them.
      */
     public long maxUnreadMicros(Channel channel) {
         return channel.unsafe().recvBufAllocHandle() instanceof ReadBuffers.BudgetedHandle handle
-                ? handle.maxUnreadMicros()
-                : 0;
+                ? Math.max(currentLagMicros(), handle.maxUnreadMicros())
+                : currentLagMicros();
     }
 
     /**
--- a/src/test/java/loadbalancer/proxy/client/ConnectionActivityTest.java
+++ b/src/test/java/loadbalancer/proxy/client/ConnectionActivityTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
 import org.junit.jupiter.api.Test;
 
 /** Checks when a client's connection times out, and how much of its wait in the accept backlog counts for a request. */
@@ -70,15 +69,20 @@
     }
 
     @Test
-    void countsBacklogWaitOnlyForFirstRequestReadRightAfterAccept() {
-        activity.bytesReceived(ACCEPTED_MICROS + 1_000);
-        assertEquals(BACKLOG_WAIT_MICROS, activity.maxRequestBacklogWaitMicros());
+    void countsBacklogWaitOnlyForFirstRequestInFirstReadAfterAccept() {
+        // However late that read is.
+        activity.bytesReceived(ACCEPTED_MICROS + 90_000);
+        assertEquals(BACKLOG_WAIT_MICROS, activity.maxRequestBacklogWaitMicros(ACCEPTED_MICROS));
+        assertEquals(ACCEPTED_MICROS, activity.sentMicros(ACCEPTED_MICROS, 10_000));
+        assertEquals(ACCEPTED_MICROS - 10_000, activity.sentMicros(ACCEPTED_MICROS, 100_000));
         activity.requestReceived();
-        activity.bytesReceived(ACCEPTED_MICROS + 2_000);
-        assertEquals(0, activity.maxRequestBacklogWaitMicros());
+        activity.bytesReceived(ACCEPTED_MICROS + 91_000);
+        assertEquals(0, activity.maxRequestBacklogWaitMicros(ACCEPTED_MICROS));
+        assertEquals(ACCEPTED_MICROS + 91_000, activity.sentMicros(ACCEPTED_MICROS, 0));
 
-        ConnectionActivity late = new ConnectionActivity(ACCEPTED_MICROS, BACKLOG_WAIT_MICROS);
-        late.bytesReceived(ACCEPTED_MICROS + ReadTrackingEventLoop.MAX_READ_AGE_MICROS);
-        assertEquals(0, late.maxRequestBacklogWaitMicros());
+        ConnectionActivity later = new ConnectionActivity(ACCEPTED_MICROS, BACKLOG_WAIT_MICROS);
+        later.bytesReceived(ACCEPTED_MICROS + 1_000);
+        assertEquals(0, later.maxRequestBacklogWaitMicros(ACCEPTED_MICROS + 1));
+        assertEquals(ACCEPTED_MICROS + 600, later.sentMicros(ACCEPTED_MICROS + 1, 400));
     }
 }
