A keyed class without a group repeats on the same endpoint only, and rejects a reload

Cause: an absent group was read as all, the widest scope, and no check could see it.

Change: an absent group has a value of its own, with which only the same endpoint may be used again. A reload that brings it is rejected; a start goes on. The test of the reader asserted the former default and now asserts the stricter one.

The reload test fails before. Decisions for settings with a group are unchanged.

--- a/src/main/java/loadbalancer/decision/AttemptEligibility.java
+++ b/src/main/java/loadbalancer/decision/AttemptEligibility.java
@@ -75,6 +75,7 @@
             case ALL -> true;
             case ZONE -> retry.zone().equals(earlier.zone());
             case CELL -> retry.cell() == earlier.cell() && retry.cell() != Endpoint.NO_CELL;
+            case UNSTATED -> false;
         };
     }
 
--- a/src/main/java/loadbalancer/input/SettingsReader.java
+++ b/src/main/java/loadbalancer/input/SettingsReader.java
@@ -154,11 +154,12 @@
     }
 
     private DeduplicationScope deduplicationScope(String path) {
-        String name = values.stringOr(path, "all");
+        String name = values.stringOr(path, "");
         return switch (name) {
             case "all", "-" -> DeduplicationScope.ALL;
             case "zone" -> DeduplicationScope.ZONE;
             case "cell" -> DeduplicationScope.CELL;
+            case "" -> DeduplicationScope.UNSTATED;
             default -> throw InvalidSettingsException.unknownName(path, name, "all, zone, cell");
         };
     }
--- a/src/main/java/loadbalancer/proxy/configuration/SettingsValidator.java
+++ b/src/main/java/loadbalancer/proxy/configuration/SettingsValidator.java
@@ -4,7 +4,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import loadbalancer.settings.DeduplicationScope;
 import loadbalancer.settings.EndpointRules;
+import loadbalancer.settings.Idempotency;
 import loadbalancer.settings.LoadBalancerSettings;
 import loadbalancer.settings.RequestClass;
 import loadbalancer.settings.RequestLimits;
@@ -57,6 +59,11 @@
                     requestClass.latencyObjectiveMicros() > 0 && requestClass.deadlineMicros() > 0,
                     "'profiles': " + name + " is out of range: 'objective_us' and 'give_up_us' must be above 0",
                     violations);
+            boolean keyed = requestClass.idempotency() == Idempotency.IDEMPOTENT_WITH_KEY;
+            addUnless(
+                    !keyed || requestClass.deduplicationScope() != DeduplicationScope.UNSTATED,
+                    "'profiles': " + name + " has no 'group': a class with idempotency keys must have one",
+                    violations);
             addUnless(
                     requestClass.priorityWeight() > 0,
                     "'profiles': " + name + " is out of range: 'importance' must be above 0",
--- a/src/main/java/loadbalancer/settings/DeduplicationScope.java
+++ b/src/main/java/loadbalancer/settings/DeduplicationScope.java
@@ -10,5 +10,7 @@
     /** The endpoints of each zone share one store. */
     ZONE,
     /** The endpoints of each cell share one store. */
-    CELL
+    CELL,
+    /** The settings don't say it, so only the endpoint itself is known to recognize a key. */
+    UNSTATED
 }
--- a/src/test/java/loadbalancer/decision/AttemptEligibilityTest.java
+++ b/src/test/java/loadbalancer/decision/AttemptEligibilityTest.java
@@ -78,6 +78,27 @@
         }
     }
 
+    @Test
+    void sendsRetryWithIdempotencyKeyOnlyToSameEndpointIfScopeIsNotStated() {
+        for (int seed = 0; seed < 20; seed++) {
+            PolicyFixture fixture = new PolicyFixture();
+            fixture.seed = seed;
+            fixture.idempotency = Idempotency.IDEMPOTENT_WITH_KEY;
+            fixture.deduplicationScope = DeduplicationScope.UNSTATED;
+            fixture.start()
+                    .receiveFullSnapshot(
+                            PolicyFixture.endpoint("a", "za", 1),
+                            PolicyFixture.endpoint("b", "za", 1),
+                            PolicyFixture.endpoint("c", "za", 1))
+                    .request("r")
+                    .advanceMicros(10_000);
+            String first = fixture.endpointOf("r", 0);
+            fixture.outcome("r", 0, first, AttemptOutcome.ERROR, 10_000);
+            String second = fixture.endpointOf("r", 1);
+            assertTrue(second == null || second.equals(first), first + " then " + second);
+        }
+    }
+
     @Test
     void sendsRetryWithIdempotencyKeyOnlyToSameCellWithinWindow() {
         PolicyFixture fixture = new PolicyFixture();
--- a/src/test/java/loadbalancer/input/SettingsReaderTest.java
+++ b/src/test/java/loadbalancer/input/SettingsReaderTest.java
@@ -62,7 +62,7 @@
                 new RequestClass(
                         "submit",
                         Idempotency.IDEMPOTENT_WITH_KEY,
-                        DeduplicationScope.ALL,
+                        DeduplicationScope.UNSTATED,
                         0,
                         300_000,
                         0,
--- a/src/test/java/loadbalancer/proxy/lifecycle/ConfigurationReloadTest.java
+++ b/src/test/java/loadbalancer/proxy/lifecycle/ConfigurationReloadTest.java
@@ -83,6 +83,8 @@
             {"\"objective_us\":300000", "\"objective_us\":0", "'c' is out of range: 'objective_us'"},
             {"\"cold_share\":0.2", "\"cold_share\":0", "'rules'"},
             {"\"max_attempts\":4", "\"max_attempts\":0", "'limits'"},
+            // Otherwise requests that have been executed would be repeated where their keys are not known.
+            {"\"group\":\"all\",", "", "'k' has no 'group'"},
             {"\"fall_multiple\":3", "\"fall_multiple\":\"three\"", "not a number"},
         };
         try (SidecarFixture fixture = new SidecarFixture()) {
@@ -112,6 +114,7 @@
         String[][] replacements = {
             {"\"cold_share\":0.2", "\"cold_share\":0"},
             {"\"fall_us\":1000000", "\"fall_us\":0"},
+            {"\"group\":\"all\",", ""},
             {"\"dial_timeout_us\":2000000", "\"dial_timeout_us\":0"},
             {"\"objective_us\":300000", "\"objective_us\":300000,\"importance\":0"},
         };
