--- a/src/main/java/loadbalancer/proxy/client/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/client/RequestDispatcher.java
@@ -17,7 +17,6 @@
 import loadbalancer.proxy.eventloop.FaultIsolation;
 import loadbalancer.proxy.eventloop.LoadBalancerExecutor;
 import loadbalancer.proxy.eventloop.MonotonicClock;
-import loadbalancer.proxy.observability.SidecarLog;
 import loadbalancer.proxy.observability.TrafficStatistics;
 import loadbalancer.proxy.upstream.UpstreamCall;
 import loadbalancer.proxy.upstream.UpstreamConnectionPool;
@@ -341,7 +340,7 @@
         boolean late = nowMicros - exchange.deadlineMicros() > LATE_RESPONSE_LOG_THRESHOLD_MICROS;
         // The deadline of a pipelined request may pass before it is dispatched, which is no fault of this program.
         if (late && exchange.dispatchedMicros() < exchange.deadlineMicros()) {
-            SidecarLog.info(exchange.describeLateResponse(nowMicros));
+            log.late(nowMicros, exchange);
         }
     }
 
--- a/src/main/java/loadbalancer/proxy/client/RequestLog.java
+++ b/src/main/java/loadbalancer/proxy/client/RequestLog.java
@@ -32,6 +32,7 @@
     private final LogRateLimit retries = new LogRateLimit(MAX_LINES_PER_SECOND);
     private final LogRateLimit rejections = new LogRateLimit(MAX_LINES_PER_SECOND);
     private final LogRateLimit failures = new LogRateLimit(MAX_LINES_PER_SECOND);
+    private final LogRateLimit lateResponses = new LogRateLimit(MAX_LINES_PER_SECOND);
 
     /** Logs an attempt after the first one. Called before the attempt is added to the exchange. */
     void retried(long nowMicros, RequestExchange exchange, String endpointId) {
@@ -56,6 +57,13 @@
         }
     }
 
+    /** Logs a final response that comes long after its deadline. */
+    void late(long nowMicros, RequestExchange exchange) {
+        if (lateResponses.allowsLine(nowMicros)) {
+            SidecarLog.info(exchange.describeLateResponse(nowMicros) + lateResponses.suppressedLines());
+        }
+    }
+
     private static String describe(long nowMicros, RequestExchange exchange) {
         StringBuilder text = new StringBuilder("request=")
                 .append(exchange.requestId())
