Log which endpoint list readiness and requests rest on, and its age

The log could not tell apart whether no list had arrived, one was refused, or one was applied and not obeyed.

`ready` and `totals` now name the source of the list in use, discovery or the configuration, and for discovery the time since it last sent a list.

--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
@@ -51,6 +51,7 @@
     private final WatchTimeouts timeouts;
     private final ExponentialBackoff backoff;
     private final EndpointListCursor cursor;
+    private final EndpointListFreshness freshness = new EndpointListFreshness();
     private final DiscoveryClient client;
     private final DiscoveryLog log = new DiscoveryLog();
     private InetSocketAddress address;
@@ -111,6 +112,14 @@
         return cursor.hasCompletedCall();
     }
 
+    /**
+     * Returns where the endpoint list in use comes from and how old it is, as keys and values for the log with a
+     * leading space.
+     */
+    public String describeList() {
+        return freshness.describe(clock.nowMicros());
+    }
+
     /** Starts a call. If one is already in flight, its response also serves as the response to this poll. */
     public void poll() {
         pollPending = mode == DiscoveryMode.POLLED;
@@ -170,6 +179,7 @@
     private void applyList(EndpointList received) {
         recordSuccess();
         cursor.advanceTo(received);
+        freshness.confirm(clock.nowMicros());
         // Whatever fails here, the watch has to go on.
         FaultIsolation.run("endpoint_list", () -> pass(startTimes.toMonotonic(received)));
         scheduleNextCall();
--- a/src/main/java/loadbalancer/proxy/lifecycle/MaintenanceTask.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/MaintenanceTask.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 import loadbalancer.proxy.client.RequestDispatcher;
 import loadbalancer.proxy.client.SidecarHttpServer;
+import loadbalancer.proxy.discovery.DiscoveryWatch;
 import loadbalancer.proxy.eventloop.EventLoopMonitor;
 import loadbalancer.proxy.eventloop.FaultIsolation;
 import loadbalancer.proxy.eventloop.MonotonicClock;
@@ -31,6 +32,7 @@
     private final SidecarHttpServer httpServer;
     private final RequestDispatcher dispatcher;
     private final UpstreamConnectionPool upstreamPool;
+    private final DiscoveryWatch discovery;
     private final LogRateLimit memoryNearLimitLog = new LogRateLimit(1);
     private long previousRunMicros;
     private long runs;
@@ -42,7 +44,8 @@
             MessageMemory messageMemory,
             SidecarHttpServer httpServer,
             RequestDispatcher dispatcher,
-            UpstreamConnectionPool upstreamPool) {
+            UpstreamConnectionPool upstreamPool,
+            DiscoveryWatch discovery) {
         this.eventLoop = eventLoop;
         clock = eventLoop.clock();
         this.monitor = monitor;
@@ -51,6 +54,7 @@
         this.httpServer = httpServer;
         this.dispatcher = dispatcher;
         this.upstreamPool = upstreamPool;
+        this.discovery = discovery;
     }
 
     void start() {
@@ -99,6 +103,7 @@
                 dispatcher.openRequestCount(), httpServer.openConnectionCount(), upstreamPool.openConnectionCount());
         if (totals != null) {
             SidecarLog.info(totals
+                    + discovery.describeList()
                     + httpServer.summarizeConnectionsAndReset()
                     + eventLoop.summarizeReadsAndReset()
                     + messageMemory.summarizeAndReset()
--- a/src/main/java/loadbalancer/proxy/lifecycle/Sidecar.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/Sidecar.java
@@ -107,7 +107,7 @@
                 clock, loadBalancerExecutor, configuration.gossipPeers(), configuration.gossipBroadcastAddress());
         httpServer = newHttpServer();
         maintenance = new MaintenanceTask(
-                eventLoop, monitor, statistics, messageMemory, httpServer, dispatcher, upstreamPool);
+                eventLoop, monitor, statistics, messageMemory, httpServer, dispatcher, upstreamPool, discovery);
     }
 
     private static long unixMicros() {
@@ -265,6 +265,14 @@
         nettyEventLoop.submit(httpServer::warmUpCompleted).sync();
     }
 
+    /**
+     * Returns where the endpoint list in use comes from and how old it is, as keys and values for the log with a
+     * leading space. Blocks until the event loop has answered.
+     */
+    String describeEndpointList() throws InterruptedException {
+        return nettyEventLoop.submit(discovery::describeList).sync().getNow();
+    }
+
     /**
      * Applies a validated configuration on the event loop: discovery address, settings, gossip peers and the broadcast
      * address for gossip. All other changes, such as those of the listen addresses, the descriptor limit and the seed,
--- a/src/main/java/loadbalancer/proxy/lifecycle/SidecarProcess.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/SidecarProcess.java
@@ -63,7 +63,8 @@
         int warmUpRequests = warmUp.run();
         sidecar.warmUpCompleted();
         timer.phaseCompleted("warm_up");
-        SidecarLog.info("ready " + timer.summary() + " warm_up_requests=" + warmUpRequests);
+        SidecarLog.info(
+                "ready " + timer.summary() + " warm_up_requests=" + warmUpRequests + sidecar.describeEndpointList());
         awaitTermination();
         return EXIT_STOPPED;
     }
