--- a/src/main/java/loadbalancer/proxy/lifecycle/MaintenanceTask.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/MaintenanceTask.java
@@ -24,15 +24,19 @@
     /** The totals are logged every 5 s, often enough to see when a problem began and ended. */
     private static final int RUNS_PER_TOTALS_LINE = 50;
 
+    /** The components that the task checks and whose totals it logs. */
+    record Components(
+            SidecarHttpServer httpServer,
+            RequestDispatcher dispatcher,
+            UpstreamConnectionPool upstreamPool,
+            DiscoveryWatch discovery) {}
+
     private final ReadTrackingEventLoop eventLoop;
     private final MonotonicClock clock;
     private final EventLoopMonitor monitor;
     private final TrafficStatistics statistics;
     private final MessageMemory messageMemory;
-    private final SidecarHttpServer httpServer;
-    private final RequestDispatcher dispatcher;
-    private final UpstreamConnectionPool upstreamPool;
-    private final DiscoveryWatch discovery;
+    private final Components components;
     private final LogRateLimit memoryNearLimitLog = new LogRateLimit(1);
     private long previousRunMicros;
     private long runs;
@@ -42,19 +46,13 @@
             EventLoopMonitor monitor,
             TrafficStatistics statistics,
             MessageMemory messageMemory,
-            SidecarHttpServer httpServer,
-            RequestDispatcher dispatcher,
-            UpstreamConnectionPool upstreamPool,
-            DiscoveryWatch discovery) {
+            Components components) {
         this.eventLoop = eventLoop;
         clock = eventLoop.clock();
         this.monitor = monitor;
         this.statistics = statistics;
         this.messageMemory = messageMemory;
-        this.httpServer = httpServer;
-        this.dispatcher = dispatcher;
-        this.upstreamPool = upstreamPool;
-        this.discovery = discovery;
+        this.components = components;
     }
 
     void start() {
@@ -72,7 +70,7 @@
     private void run() {
         long nowMicros = clock.nowMicros();
         recordLag(nowMicros - previousRunMicros - INTERVAL_MILLIS * 1000);
-        httpServer.closeTimedOutConnections();
+        components.httpServer().closeTimedOutConnections();
         monitor.recordFinishedTask("stalled_connection_sweep", nowMicros);
         logMemoryNearLimit(nowMicros);
         if (++runs % RUNS_PER_TOTALS_LINE == 0) {
@@ -100,11 +98,13 @@
     private void logTotals() {
         long startMicros = clock.nowMicros();
         String totals = statistics.summarizeAndReset(
-                dispatcher.openRequestCount(), httpServer.openConnectionCount(), upstreamPool.openConnectionCount());
+                components.dispatcher().openRequestCount(),
+                components.httpServer().openConnectionCount(),
+                components.upstreamPool().openConnectionCount());
         if (totals != null) {
             SidecarLog.info(totals
-                    + discovery.describeList()
-                    + httpServer.summarizeConnectionsAndReset()
+                    + components.discovery().describeList()
+                    + components.httpServer().summarizeConnectionsAndReset()
                     + eventLoop.summarizeReadsAndReset()
                     + messageMemory.summarizeAndReset()
                     + DirectMemory.describe());
--- a/src/main/java/loadbalancer/proxy/lifecycle/Sidecar.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/Sidecar.java
@@ -107,7 +107,11 @@
                 clock, loadBalancerExecutor, configuration.gossipPeers(), configuration.gossipBroadcastAddress());
         httpServer = newHttpServer();
         maintenance = new MaintenanceTask(
-                eventLoop, monitor, statistics, messageMemory, httpServer, dispatcher, upstreamPool, discovery);
+                eventLoop,
+                monitor,
+                statistics,
+                messageMemory,
+                new MaintenanceTask.Components(httpServer, dispatcher, upstreamPool, discovery));
     }
 
     private static long unixMicros() {
