Withhold the configured endpoint list until discovery has confirmed it, 6 s at most

Cause: a call that had failed counted as completed, and readiness asked for no more. The load balancer had the configured list from the start.

Change: EndpointListFreshness decides whether the known list may be used. The configured list reaches the load balancer updated by the first accepted list, or as it is after 6 s; readiness depends on the same object. Calls before the first list ask for an answer at once instead of a long poll.

Why it works: what the agent has counts as known from the start of the process, so nothing may be sent by the old list while an answer can still be on its way. After 6 s a discovery that could be reached has answered.

--- a/src/main/java/loadbalancer/proxy/client/SidecarHttpServer.java
+++ b/src/main/java/loadbalancer/proxy/client/SidecarHttpServer.java
@@ -27,7 +27,7 @@
     private final RequestDispatcher dispatcher;
     private final RequestClasses requestClasses;
     private final RequestExchangeFactory exchangeFactory;
-    private final BooleanSupplier discoveryConsulted;
+    private final BooleanSupplier hasUsableEndpointList;
     private final ConnectionLimits limits;
     private final TrafficStatistics statistics;
     private final MessageMemory messageMemory;
@@ -43,14 +43,14 @@
     private boolean acceptCheckScheduled;
 
     /**
-     * {@code discoveryConsulted} returns whether a first call to discovery has completed; the server reports ready only
-     * after that. It is called on the event loop.
+     * {@code hasUsableEndpointList} returns whether requests may be sent by the known endpoint list; the server reports
+     * that it is not ready until then. It is called on the event loop.
      */
     public SidecarHttpServer(
             ReadTrackingEventLoop eventLoop,
             RequestDispatcher dispatcher,
             List<RequestClass> requestClasses,
-            BooleanSupplier discoveryConsulted,
+            BooleanSupplier hasUsableEndpointList,
             ConnectionLimits limits,
             TrafficStatistics statistics,
             MessageMemory messageMemory) {
@@ -58,7 +58,7 @@
         clock = eventLoop.clock();
         this.dispatcher = dispatcher;
         this.requestClasses = new RequestClasses(requestClasses);
-        this.discoveryConsulted = discoveryConsulted;
+        this.hasUsableEndpointList = hasUsableEndpointList;
         this.limits = limits;
         this.statistics = statistics;
         this.messageMemory = messageMemory;
@@ -135,7 +135,7 @@
     }
 
     boolean isReady() {
-        return !isShuttingDown() && !isWarmingUp() && discoveryConsulted.getAsBoolean();
+        return !isShuttingDown() && !isWarmingUp() && hasUsableEndpointList.getAsBoolean();
     }
 
     private boolean isWarmingUp() {
--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryLog.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryLog.java
@@ -31,6 +31,12 @@
         }
     }
 
+    /** Logs that the list of the configuration is used although discovery has not confirmed it. */
+    void waitForFirstListEnded(long waitedMillis, int failedCalls, EndpointList initialList) {
+        SidecarLog.info("endpoint_list_unconfirmed waited_millis=" + waitedMillis + " failed_calls=" + failedCalls + " "
+                + describe(initialList));
+    }
+
     void recovered(int failedCalls) {
         SidecarLog.info("discovery_recovered failed_calls=" + failedCalls);
     }
--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
@@ -17,10 +17,12 @@
 
 /**
  * Watches discovery by consecutive calls. The protocol expects the sidecar to know a change even if no call was open
- * when the change happened. Therefore the first call does not wait for a change. Each list is passed to the listener
- * and then to the load balancer. After a failed call, the known list stays in use. With {@link DiscoveryMode#PUSHED},
- * the watch repeats the call after the pause of its {@link ExponentialBackoff}, which is 0 after the first failure.
- * With {@link DiscoveryMode#POLLED}, the load balancer is notified of the failure and decides when to poll again.
+ * when the change happened. Therefore no call waits for a change before a first list has arrived. Each list is passed
+ * to the listener and then to the load balancer. The list of the configuration is withheld from both until
+ * {@link EndpointListFreshness} permits its use. After a failed call, the known list stays in use. With
+ * {@link DiscoveryMode#PUSHED}, the watch repeats the call after the pause of its {@link ExponentialBackoff}, which is
+ * 0 after the first failure. With {@link DiscoveryMode#POLLED}, the load balancer is notified of the failure and
+ * decides when to poll again.
  *
  * <p>All methods run on the event loop that owns the watch.
  */
@@ -28,9 +30,10 @@
     /**
      * The initial configuration of a watch.
      *
-     * @param generation the generation of the endpoint list that is known when the watch is created
+     * @param initialList the full endpoint list of the configuration, with start times of the monotonic clock
      */
-    public record Options(InetSocketAddress address, long generation, DiscoveryMode mode, WatchTimeouts timeouts) {}
+    public record Options(
+            InetSocketAddress address, EndpointList initialList, DiscoveryMode mode, WatchTimeouts timeouts) {}
 
     /**
      * The minimum time from the start of a successful call to the start of the next call, unless the load balancer
@@ -50,6 +53,7 @@
     private final EndpointListListener listener;
     private final WatchTimeouts timeouts;
     private final ExponentialBackoff backoff;
+    private final EndpointList initialList;
     private final EndpointListCursor cursor;
     private final EndpointListFreshness freshness = new EndpointListFreshness();
     private final DiscoveryClient client;
@@ -90,7 +94,8 @@
         address = options.address();
         mode = options.mode();
         timeouts = options.timeouts();
-        cursor = new EndpointListCursor(options.generation());
+        initialList = options.initialList();
+        cursor = new EndpointListCursor(initialList.generation());
         client = new DiscoveryClient(eventLoop, messageMemory, new CallListener());
     }
 
@@ -100,16 +105,24 @@
                 .nextLong(bound));
     }
 
-    /** Starts the watch if its mode is {@link DiscoveryMode#PUSHED}. Otherwise the first {@link #poll} starts it. */
+    /**
+     * Starts the wait for the first list, and the watch if its mode is {@link DiscoveryMode#PUSHED}. Otherwise the
+     * first {@link #poll} starts the watch.
+     */
     public void start() {
+        loop.schedule(this::endWaitForFirstList, timeouts.firstListTimeoutMillis(), TimeUnit.MILLISECONDS);
+        pollIfPushed();
+    }
+
+    private void pollIfPushed() {
         if (mode == DiscoveryMode.PUSHED) {
             poll();
         }
     }
 
-    /** Returns whether any call has completed, successfully or not. Until then, discovery may have a newer list. */
-    public boolean hasCompletedCall() {
-        return cursor.hasCompletedCall();
+    /** Returns whether requests may be sent by the known list. */
+    public boolean hasUsableList() {
+        return freshness.isUsable();
     }
 
     /**
@@ -152,7 +165,7 @@
         if (newMode != mode) {
             mode = newMode;
             SidecarLog.info("discovery_mode_changed mode=" + newMode);
-            start();
+            pollIfPushed();
         }
     }
 
@@ -179,16 +192,31 @@
     private void applyList(EndpointList received) {
         recordSuccess();
         cursor.advanceTo(received);
-        freshness.confirm(clock.nowMicros());
         // Whatever fails here, the watch has to go on.
-        FaultIsolation.run("endpoint_list", () -> pass(startTimes.toMonotonic(received)));
+        FaultIsolation.run("endpoint_list", () -> confirmAndPass(startTimes.toMonotonic(received)));
         scheduleNextCall();
     }
 
-    private void pass(EndpointList list) {
+    /** Passes a list from discovery on. If it is the first one, passes it together with the initial list. */
+    private void confirmAndPass(EndpointList list) {
         log.listApplied(clock.nowMicros(), list);
-        listener.onEndpointList(list);
-        notifyLoadBalancer(list);
+        EndpointList passed = freshness.isUsable() ? list : initialList.updatedBy(list);
+        freshness.confirm(clock.nowMicros());
+        listener.onEndpointList(passed);
+        notifyLoadBalancer(passed);
+    }
+
+    /** Passes the initial list on if discovery has sent none until now, as if discovery were down. */
+    private void endWaitForFirstList() {
+        if (stopped || freshness.isUsable()) {
+            return;
+        }
+        log.waitForFirstListEnded(timeouts.firstListTimeoutMillis(), backoff.consecutiveFailures(), initialList);
+        freshness.waitEnded();
+        FaultIsolation.run("initial_endpoint_list", () -> {
+            listener.onEndpointList(initialList);
+            submit(EndpointListType.CACHED, initialList);
+        });
     }
 
     private void recordSuccess() {
@@ -205,6 +233,10 @@
         }
         pollPending = false;
         EndpointListType type = list.fullSnapshot() ? EndpointListType.FULL : EndpointListType.DELTA;
+        submit(type, list);
+    }
+
+    private void submit(EndpointListType type, EndpointList list) {
         List<Endpoint> endpoints = list.endpoints();
         loadBalancerExecutor.submit(
                 "endpoint_list",
--- a/src/main/java/loadbalancer/proxy/discovery/EndpointListCursor.java
+++ b/src/main/java/loadbalancer/proxy/discovery/EndpointListCursor.java
@@ -15,26 +15,19 @@
      * has changed. Deltas can't be applied to the known list then.
      */
     private boolean fullSnapshotRequired;
-    /**
-     * Whether any call has completed, successfully or not. Before that, the known list comes from the configuration and
-     * may be outdated.
-     */
-    private boolean callCompleted;
+    /** Whether discovery has sent a list. Before that, the known list is that of the configuration. */
+    private boolean listReceived;
 
     EndpointListCursor(long generation) {
         this.generation = generation;
     }
 
-    boolean hasCompletedCall() {
-        return callCompleted;
-    }
-
     /**
-     * Returns whether the next call is a long poll, whose response discovery may delay until there is a change. The
-     * first call and calls for a full snapshot receive their response at once.
+     * Returns whether the next call is a long poll, whose response discovery may delay until there is a change. Calls
+     * before the first list and calls for a full snapshot ask for a response at once.
      */
     boolean nextCallIsLongPoll() {
-        return callCompleted && !fullSnapshotRequired;
+        return listReceived && !fullSnapshotRequired;
     }
 
     /** Returns the generation of the known list. */
@@ -62,11 +55,10 @@
     void advanceTo(EndpointList accepted) {
         generation = accepted.generation();
         fullSnapshotRequired = false;
-        callCompleted = true;
+        listReceived = true;
     }
 
     void recordFailedCall(CallFailure failure) {
-        callCompleted = true;
         if (failure == CallFailure.MALFORMED_LIST) {
             fullSnapshotRequired = true;
         }
--- a/src/main/java/loadbalancer/proxy/lifecycle/Sidecar.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/Sidecar.java
@@ -3,7 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.Objects;
-import loadbalancer.decision.EndpointListType;
+import java.util.concurrent.CountDownLatch;
 import loadbalancer.decision.LoadBalancer;
 import loadbalancer.decision.LoadBalancerActions;
 import loadbalancer.proxy.client.ConnectionLimits;
@@ -56,6 +56,9 @@
     private final EndpointStartTimes startTimes;
     private final EndpointList initialEndpoints;
     private final DiscoveryWatch discovery;
+    /** Reaches 0 when the load balancer gets the first endpoint list. */
+    private final CountDownLatch endpointListUsable = new CountDownLatch(1);
+
     private final GossipTransport gossip;
     private final SidecarHttpServer httpServer;
     private final MaintenanceTask maintenance;
@@ -134,15 +137,17 @@
                 loadBalancerExecutor,
                 startTimes,
                 messageMemory,
-                upstreamPool::updateEndpoints,
+                this::updateEndpoints,
                 new DiscoveryWatch.Options(
-                        configuration.discoveryAddress(),
-                        initialEndpoints.generation(),
-                        discoveryMode(settings()),
-                        watchTimeouts),
+                        configuration.discoveryAddress(), initialEndpoints, discoveryMode(settings()), watchTimeouts),
                 backoff);
     }
 
+    private void updateEndpoints(EndpointList list) {
+        upstreamPool.updateEndpoints(list);
+        endpointListUsable.countDown();
+    }
+
     private static DiscoveryMode discoveryMode(LoadBalancerSettings settings) {
         return settings.polledDiscovery() ? DiscoveryMode.POLLED : DiscoveryMode.PUSHED;
     }
@@ -152,7 +157,7 @@
                 eventLoop,
                 dispatcher,
                 settings().requestClasses(),
-                () -> discovery.hasCompletedCall(),
+                () -> discovery.hasUsableList(),
                 new ConnectionLimits(
                         descriptorBudget.maxClientConnections(),
                         descriptorBudget.maxIdleClientConnections(),
@@ -225,9 +230,7 @@
     }
 
     private LoadBalancer newLoadBalancer(LoadBalancerActions actions) {
-        LoadBalancer created = loadBalancerFactory.create(configuration, clock.nowMicros(), actions);
-        created.onEndpointList(clock.nowMicros(), EndpointListType.CACHED, initialEndpoints.endpoints());
-        return created;
+        return loadBalancerFactory.create(configuration, clock.nowMicros(), actions);
     }
 
     /**
@@ -262,13 +265,18 @@
     }
 
     /**
-     * Lets the sidecar report readiness as soon as a call to discovery has completed. Blocks until the event loop has
-     * applied the change.
+     * Lets the sidecar report readiness as soon as it has an endpoint list that it may use. Blocks until the event loop
+     * has applied the change.
      */
     void warmUpCompleted() throws InterruptedException {
         nettyEventLoop.submit(httpServer::warmUpCompleted).sync();
     }
 
+    /** Blocks until the sidecar has an endpoint list that it may use. */
+    void awaitUsableEndpointList() throws InterruptedException {
+        endpointListUsable.await();
+    }
+
     /**
      * Returns where the endpoint list in use comes from and how old it is, as keys and values for the log with a
      * leading space. Blocks until the event loop has answered.
--- a/src/main/java/loadbalancer/proxy/lifecycle/SidecarProcess.java
+++ b/src/main/java/loadbalancer/proxy/lifecycle/SidecarProcess.java
@@ -63,6 +63,8 @@
         int warmUpRequests = warmUp.run();
         sidecar.warmUpCompleted();
         timer.phaseCompleted("warm_up");
+        sidecar.awaitUsableEndpointList();
+        timer.phaseCompleted("endpoint_list");
         SidecarLog.info(
                 "ready " + timer.summary() + " warm_up_requests=" + warmUpRequests + sidecar.describeEndpointList());
         awaitTermination();
--- a/src/main/java/loadbalancer/proxy/protocol/EndpointList.java
+++ b/src/main/java/loadbalancer/proxy/protocol/EndpointList.java
@@ -5,7 +5,9 @@
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import loadbalancer.decision.Endpoint;
 import loadbalancer.decision.EndpointState;
 
@@ -104,6 +106,21 @@
         }
     }
 
+    /**
+     * Returns the full list that results if {@code newer} is applied to this full list: {@code newer} itself if it is a
+     * full snapshot. The order of the endpoints that both contain is that of this list.
+     */
+    public EndpointList updatedBy(EndpointList newer) {
+        if (newer.fullSnapshot()) {
+            return newer;
+        }
+        Map<String, Entry> entriesById = new LinkedHashMap<>();
+        entries.forEach(entry -> entriesById.put(entry.endpoint().id(), entry));
+        newer.entries().forEach(entry -> entriesById.put(entry.endpoint().id(), entry));
+        entriesById.values().removeIf(entry -> entry.endpoint().state() == EndpointState.REMOVED);
+        return new EndpointList(newer.generation(), true, List.copyOf(entriesById.values()));
+    }
+
     /** Returns the endpoints without their addresses, in the order of the list. */
     public List<Endpoint> endpoints() {
         return entries.stream().map(Entry::endpoint).toList();
--- a/src/test/java/loadbalancer/proxy/protocol/EndpointListTest.java
+++ b/src/test/java/loadbalancer/proxy/protocol/EndpointListTest.java
@@ -55,6 +55,26 @@
         assertMalformed("field 'instanceId' is missing", listOf("{\"lifecycle\":\"Gone\"}"));
     }
 
+    @Test
+    void appliesNewerListToFullList() {
+        String other = ENTRY.replace("e1", "e2");
+        EndpointList full = parse("{\"generation\":3,\"reset\":true,\"instances\":[" + ENTRY + "," + other + "]}");
+        String changes = ENTRY.replace("Ready", "Terminating") + "," + other.replace("Ready", "Gone") + ","
+                + ENTRY.replace("e1", "e3");
+        EndpointList updated =
+                full.updatedBy(parse("{\"generation\":5,\"reset\":false,\"instances\":[" + changes + "]}"));
+        assertEquals(5, updated.generation());
+        assertTrue(updated.fullSnapshot());
+        assertEquals(
+                "[e1=DRAINING, e3=READY]",
+                updated.endpoints().stream()
+                        .map(endpoint -> endpoint.id() + "=" + endpoint.state())
+                        .toList()
+                        .toString());
+        EndpointList snapshot = parse("{\"generation\":2,\"reset\":true,\"instances\":[]}");
+        assertEquals(snapshot, full.updatedBy(snapshot));
+    }
+
     @Test
     void reportsErrorInMalformedList() {
         assertMalformed("expected a JSON object, found another JSON value or no text", "[]");
