Keep calls to discovery that were started after the one that is answered

What callers would see: beside an agent that answers each call 4.5 s late, requests went to a draining endpoint until 8.4 s after the agent had the change; 6 s are allowed.

Cause: the answer to a call that had timed out ended all other calls as older. Those started later are newer, and the change may be on its way in one of them.

Change: only calls that were started earlier are abandoned.

Evidence: SlowDiscoveryTest#appliesChangeThatComesBetweenTwoSlowAnswers failed before with lists pushed and asked for (applied after 8,414 and 8,403 ms) and passes now; DiscoveryWatchTest passes.

--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
@@ -31,9 +31,9 @@
 
 /**
  * Fetches endpoint lists over a keep-alive connection. At most one call is in flight. A call that has timed out stays
- * open for a while as an overdue call: a list that arrives slowly is still used if no other call has completed in the
- * meantime. All methods and callbacks run on the event loop that owns the connections. This class releases the buffer
- * of each response after parsing.
+ * open as an overdue call: a list that arrives slowly is still used unless a call that was started later has completed
+ * in the meantime. All methods and callbacks run on the event loop that owns the connections. This class releases the
+ * buffer of each response after parsing.
  */
 final class DiscoveryClient {
     /**
@@ -68,6 +68,7 @@
     /** Null if no call is in flight. */
     private Call callInFlight;
 
+    /** The calls that have timed out and are still open, in the order of their starts. */
     private final List<Call> overdueCalls = new ArrayList<>();
 
     /** One call to discovery, on a connection of its own until its response is complete. Compared by identity. */
@@ -139,6 +140,10 @@
             callInFlight.abandon();
             callInFlight = null;
         }
+        abandonOverdueCalls();
+    }
+
+    private void abandonOverdueCalls() {
         overdueCalls.forEach(Call::abandon);
         overdueCalls.clear();
     }
@@ -232,15 +237,21 @@
         listener.onResponse(list);
     }
 
-    /** Ends a call that has received its response, and abandons all other calls: their responses would be older. */
+    /**
+     * Ends a call that has received its response, and abandons the calls that were started earlier: their responses
+     * would be older. Those that were started later may bring a change that this one does not have.
+     */
     private void complete(Call call, boolean keepAlive) {
+        call.timer.cancel(false);
         if (call == callInFlight) {
             callInFlight = null;
+            abandonOverdueCalls();
         } else {
-            overdueCalls.remove(call);
+            while (overdueCalls.get(0) != call) {
+                overdueCalls.remove(0).abandon();
+            }
+            overdueCalls.remove(0);
         }
-        call.timer.cancel(false);
-        abandonCalls();
         closeIdleConnection();
         idleConnection = call.connection;
         if (!keepAlive) {
--- /dev/null
+++ b/src/test/java/loadbalancer/SlowDiscoveryTest.java
@@ -0,0 +1,71 @@
+package loadbalancer;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.Map;
+import loadbalancer.proxy.testing.SidecarFixture;
+import loadbalancer.proxy.testing.SidecarProcessFixture;
+import loadbalancer.proxy.testing.StubDiscovery;
+import loadbalancer.proxy.testing.StubServer;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Discovery's agent answers late. Its lists have to be applied all the same, and in time. */
+@Timeout(60)
+class SlowDiscoveryTest {
+    /** Within this time after discovery had it and could be reached, a change counts as told. */
+    private static final long NOTIFIED_MILLIS = 6_000;
+
+    private static final long DRAIN_GRACE_MILLIS = 250;
+    private static final String ENTRY = SidecarFixture.endpointJson("u0", "127.0.0.1:9", "Ready", 0);
+
+    private static final String SETTINGS =
+            """
+            {"me":0,"balancers":1,"zone":"za","azs":["za"],"kinds":["k"],"discovery":"DISCOVERY_MODE",
+             "profiles":[{"name":"c","semantics":"safe","objective_us":100000,"give_up_us":1000000}],
+             "rules":{"drain_grace_us":250000,"cold_share":0.2,"ramp_time_us":1000000,"fall_multiple":3,
+                      "fall_us":1000000,"ask_every_us":10000000}}""";
+
+    @TempDir
+    Path folder;
+
+    private static String configuration(String discoveryAddress, String discoveryMode) {
+        return "{\"listen\":\"127.0.0.1:0\",\"seed\":\"1\",\"discovery\":\"" + discoveryAddress + "\",\"known\":"
+                + SidecarFixture.endpointListJson(41, true, ENTRY) + ",\"settings\":"
+                + SETTINGS.replace("DISCOVERY_MODE", discoveryMode) + "}";
+    }
+
+    private SidecarProcessFixture startSidecar(StubServer discovery, String discoveryMode) throws Exception {
+        return new SidecarProcessFixture(folder, configuration(discovery.address(), discoveryMode), Map.of());
+    }
+
+    /** Publishes a change now and checks that the sidecar applies it while it may still count as not notified. */
+    private static void assertChangeIsAppliedInTime(StubDiscovery agent, SidecarProcessFixture sidecar)
+            throws Exception {
+        long changedNanos = System.nanoTime();
+        agent.publish(42, ENTRY.replace("Ready", "Terminating"));
+        sidecar.awaitLine("endpoint_list_applied generation=42 ");
+        long appliedMillis = (System.nanoTime() - changedNanos) / 1_000_000;
+        assertTrue(
+                appliedMillis <= NOTIFIED_MILLIS + DRAIN_GRACE_MILLIS,
+                "applied " + appliedMillis + " ms after discovery had it");
+    }
+
+    /** Guards against a newer call that is given up because an older one has been answered. */
+    @ParameterizedTest
+    @ValueSource(strings = {"pushed", "on_request"})
+    void appliesChangeThatComesBetweenTwoSlowAnswers(String discoveryMode) throws Exception {
+        StubDiscovery agent = new StubDiscovery(41, ENTRY);
+        try (StubServer discovery = new StubServer(agent);
+                SidecarProcessFixture sidecar = startSidecar(discovery, discoveryMode)) {
+            sidecar.awaitLine("load-balancer: ready ");
+            agent.setDelayMillis(4_500);
+            // The wait of the first slow watch has ended by then, and its empty answer is on the way.
+            Thread.sleep(4_500);
+            assertChangeIsAppliedInTime(agent, sidecar);
+        }
+    }
+}
