Keep eight calls to discovery open for up to 60 s, the oldest and the latest

What callers would see: beside an agent that answers 8 s late, a restarted sidecar used the list of its configuration for ever; beside one that answers 4.5 s late after an outage of 12 s, it sent to a draining endpoint until 7.0 s after the agent had the change (6 s are allowed).

Cause: four calls stayed open after their timeout, for 6 s each, and further calls ended at their timeout. A slower agent never reached one of them, and those of an outage left no place for the calls after it.

Change: eight calls for up to 60 s; the second oldest makes place.

Evidence: SlowDiscoveryTest#appliesListThatArrivesAfterWaitForFirstList (no list within 60 s before) and #appliesChangeAfterOutageOfSlowDiscovery (7,048 ms before) pass now, as does DiscoveryWatchTest.

--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
@@ -55,9 +55,10 @@
     /** Several times the length of an indented list of several thousand endpoints. */
     private static final int MAX_RESPONSE_BYTES = 8 << 20;
 
-    static final int MAX_OVERDUE_CALLS = 4;
-    /** How long a call stays open after its timeout. Missed changes must be known 6 s after discovery had them. */
-    private static final long MAX_OVERDUE_MILLIS = 6_000;
+    /** Enough for the calls of the last 6 s, the time within which missed changes must be known. */
+    static final int MAX_OVERDUE_CALLS = 8;
+    /** How long a call stays open after its timeout, unless it has to make place for a later one. */
+    private static final long MAX_OVERDUE_MILLIS = 60_000;
 
     private final EventLoop loop;
     private final MessageMemory messageMemory;
@@ -190,16 +191,23 @@
     /** Makes the call overdue and reports the timeout. The next call gets another connection. */
     private void handleTimeout(Call call) {
         callInFlight = null;
-        if (overdueCalls.size() < MAX_OVERDUE_CALLS) {
-            overdueCalls.add(call);
-            call.timer =
-                    loop.schedule(() -> fail(call, CallFailure.TIMEOUT, ""), MAX_OVERDUE_MILLIS, TimeUnit.MILLISECONDS);
-        } else {
-            call.abandon();
+        overdueCalls.add(call);
+        call.timer =
+                loop.schedule(() -> fail(call, CallFailure.TIMEOUT, ""), MAX_OVERDUE_MILLIS, TimeUnit.MILLISECONDS);
+        if (overdueCalls.size() > MAX_OVERDUE_CALLS) {
+            makePlaceForOverdueCall();
         }
         listener.onFailure(CallFailure.TIMEOUT, "");
     }
 
+    /**
+     * Abandons the second oldest overdue call. The oldest one is the next that a very slow discovery answers. The
+     * latest ones are those that it answers after an outage, in which it may have lost all earlier ones.
+     */
+    private void makePlaceForOverdueCall() {
+        overdueCalls.remove(1).abandon();
+    }
+
     /**
      * Ends a call and closes its connection. Reports the failure unless the call's timeout has been reported before.
      */
--- a/src/test/java/loadbalancer/SlowDiscoveryTest.java
+++ b/src/test/java/loadbalancer/SlowDiscoveryTest.java
@@ -8,6 +8,7 @@
 import loadbalancer.proxy.testing.SidecarProcessFixture;
 import loadbalancer.proxy.testing.StubDiscovery;
 import loadbalancer.proxy.testing.StubServer;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -54,6 +55,18 @@
                 "applied " + appliedMillis + " ms after discovery had it");
     }
 
+    /** Guards against calls that are given up before a very slow agent answers any of them. */
+    @Test
+    void appliesListThatArrivesAfterWaitForFirstList() throws Exception {
+        StubDiscovery agent = new StubDiscovery(42, ENTRY);
+        agent.setDelayMillis(8_000);
+        try (StubServer discovery = new StubServer(agent);
+                SidecarProcessFixture sidecar = startSidecar(discovery, "pushed")) {
+            sidecar.awaitLine("endpoint_list_unconfirmed ");
+            sidecar.awaitLine("endpoint_list_applied generation=42 ");
+        }
+    }
+
     /** Guards against a newer call that is given up because an older one has been answered. */
     @ParameterizedTest
     @ValueSource(strings = {"pushed", "on_request"})
@@ -68,4 +81,20 @@
             assertChangeIsAppliedInTime(agent, sidecar);
         }
     }
+
+    /** Guards against calls from an outage that leave no place for those that a slow agent answers after it. */
+    @ParameterizedTest
+    @ValueSource(longs = {12_000})
+    void appliesChangeAfterOutageOfSlowDiscovery(long silentMillis) throws Exception {
+        StubDiscovery agent = new StubDiscovery(41, ENTRY);
+        try (StubServer discovery = new StubServer(agent);
+                SidecarProcessFixture sidecar = startSidecar(discovery, "pushed")) {
+            sidecar.awaitLine("load-balancer: ready ");
+            agent.setSilent(true);
+            Thread.sleep(silentMillis);
+            agent.setDelayMillis(4_500);
+            agent.setSilent(false);
+            assertChangeIsAppliedInTime(agent, sidecar);
+        }
+    }
 }
