--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
@@ -37,14 +37,15 @@
  */
 final class DiscoveryClient {
     /**
-     * Is called at most once for each call, or, for a call that times out, once for the timeout and once more if its
-     * response is used later. Cancelled calls are not reported. An implementation may start the next call.
+     * Is called at most once for each call, or, for a call that times out, once for the timeout and once more if a list
+     * arrives later, whether it can be used or is malformed. Cancelled calls are not reported. An implementation may
+     * start the next call.
      */
     interface Listener {
         void onResponse(EndpointList list);
 
         /**
-         * Handles the failure of the call in flight.
+         * Handles the failure of the call in flight, or a malformed list in response to an overdue one.
          *
          * @param detail a key and a value for the log, in the form {@code key=value}; empty if there is none
          */
@@ -209,17 +210,22 @@
     }
 
     /**
-     * Ends a call and closes its connection. Reports the failure unless the call's timeout has been reported before.
+     * Ends a call and closes its connection. Reports the failure unless the call's timeout has been reported before; a
+     * malformed list is always reported, because the next call has to ask for a full snapshot.
      */
     private void fail(Call call, CallFailure failure, String detail) {
         if (!isOpen(call)) {
             return;
         }
         call.abandon();
-        if (overdueCalls.remove(call)) {
-            return;
+        if (call == callInFlight) {
+            callInFlight = null;
+        } else {
+            overdueCalls.remove(call);
+            if (failure != CallFailure.MALFORMED_LIST) {
+                return;
+            }
         }
-        callInFlight = null;
         listener.onFailure(failure, detail);
     }
 
--- a/src/test/java/loadbalancer/SlowDiscoveryTest.java
+++ b/src/test/java/loadbalancer/SlowDiscoveryTest.java
@@ -82,6 +82,21 @@
         }
     }
 
+    /** Guards against a late list that can't be read and leaves the sidecar asking for changes to an unknown list. */
+    @Test
+    void requestsFullSnapshotAfterLateMalformedList() throws Exception {
+        try (StubServer discovery = new StubServer((request, connection) -> {
+                    StubServer.sleep(1_500);
+                    boolean wholeList = request.path().equals("/registry/instances");
+                    connection.respond(
+                            "200 OK", "", wholeList ? SidecarFixture.endpointListJson(42, true, ENTRY) : "no json");
+                });
+                SidecarProcessFixture sidecar = startSidecar(discovery, "pushed")) {
+            String ready = sidecar.awaitLine("load-balancer: ready ");
+            assertTrue(ready.contains("endpoint_list_source=discovery"), ready);
+        }
+    }
+
     /** Guards against calls from an outage that leave no place for those that a slow agent answers after it. */
     @ParameterizedTest
     @ValueSource(longs = {12_000})
