Ask discovery for an answer at once after a failed call, not for a long poll

Cause: once a list was known, calls after a failed one were long polls with a timeout of 2.5 s, so an agent that had swallowed one was asked again up to 2.5 s after its return.

Change: a call is a long poll only if the one before it has succeeded.

SlowDiscoveryTest passes with 7 and 12 s.

--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
@@ -17,8 +17,8 @@
 
 /**
  * Watches discovery by consecutive calls. The protocol expects the sidecar to know a change even if no call was open
- * when the change happened. Therefore no call waits for a change before a first list has arrived. Each list is passed
- * to the listener and then to the load balancer. The list of the configuration is withheld from both until
+ * when the change happened. Therefore a call waits for a change only if the one before it has succeeded. Each list is
+ * passed to the listener and then to the load balancer. The list of the configuration is withheld from both until
  * {@link EndpointListFreshness} permits its use. After a failed call, the known list stays in use. With
  * {@link DiscoveryMode#PUSHED}, the watch repeats the call after the pause of its {@link ExponentialBackoff}, which is
  * 0 after the first failure. With {@link DiscoveryMode#POLLED}, the load balancer is notified of the failure and
--- a/src/main/java/loadbalancer/proxy/discovery/EndpointListCursor.java
+++ b/src/main/java/loadbalancer/proxy/discovery/EndpointListCursor.java
@@ -15,8 +15,11 @@
      * has changed. Deltas can't be applied to the known list then.
      */
     private boolean fullSnapshotRequired;
-    /** Whether discovery has sent a list. Before that, the known list is that of the configuration. */
-    private boolean listReceived;
+    /**
+     * Whether the known list is the response to the last call. It is not before the first response, because the list of
+     * the configuration may be outdated, and not after a failed call, which may have missed a change.
+     */
+    private boolean upToDate;
 
     EndpointListCursor(long generation) {
         this.generation = generation;
@@ -24,10 +27,10 @@
 
     /**
      * Returns whether the next call is a long poll, whose response discovery may delay until there is a change. Calls
-     * before the first list and calls for a full snapshot ask for a response at once.
+     * before the first list, after a failed call and for a full snapshot ask for a response at once.
      */
     boolean nextCallIsLongPoll() {
-        return listReceived && !fullSnapshotRequired;
+        return upToDate && !fullSnapshotRequired;
     }
 
     /** Returns the generation of the known list. */
@@ -55,10 +58,11 @@
     void advanceTo(EndpointList accepted) {
         generation = accepted.generation();
         fullSnapshotRequired = false;
-        listReceived = true;
+        upToDate = true;
     }
 
     void recordFailedCall(CallFailure failure) {
+        upToDate = false;
         if (failure == CallFailure.MALFORMED_LIST) {
             fullSnapshotRequired = true;
         }
