Keep the calls for the whole list open when a reload moves discovery

Cause: each change of the address cancelled the call that the one before had started.

Change: calls for the whole list stay open, and their list is applied unless one from a later call has been. The generation of the previous address is not taken over.

--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
@@ -42,7 +42,12 @@
      * start the next call.
      */
     interface Listener {
-        void onResponse(EndpointList list);
+        /**
+         * Handles a list.
+         *
+         * @param fromPreviousAddress whether the list answers a call that was made before {@link #changeAddress}
+         */
+        void onResponse(EndpointList list, boolean fromPreviousAddress);
 
         /**
          * Handles the failure of the call in flight, or a malformed list in response to an overdue one.
@@ -76,6 +81,9 @@
     /** One call to discovery, on a connection of its own until its response is complete. Compared by identity. */
     private static final class Call {
         final String requestTarget;
+        /** Whether the address of discovery has changed since this call was started. */
+        boolean toPreviousAddress;
+
         Channel connection;
         /** Times the call out, or closes it for good once it is overdue. */
         Future<?> timer;
@@ -125,10 +133,35 @@
 
     /** Cancels all calls without calling the listener, and closes all connections. */
     void cancel() {
-        abandonCalls();
+        if (callInFlight != null) {
+            callInFlight.abandon();
+            callInFlight = null;
+        }
+        abandonOverdueCalls();
         closeIdleConnection();
     }
 
+    /**
+     * Prepares for calls to another address. Cancels all calls without calling the listener, except those for a full
+     * snapshot, which become overdue: if the address changes again and again, the answer of a slow discovery would
+     * otherwise never arrive.
+     */
+    void changeAddress() {
+        closeIdleConnection();
+        if (callInFlight != null) {
+            Call call = callInFlight;
+            callInFlight = null;
+            makeOverdue(call);
+        }
+        for (Call call : List.copyOf(overdueCalls)) {
+            call.toPreviousAddress = true;
+            if (!EndpointListCursor.isFullSnapshotTarget(call.requestTarget)) {
+                overdueCalls.remove(call);
+                call.abandon();
+            }
+        }
+    }
+
     /** Closes the connection of the last response. */
     void closeIdleConnection() {
         if (idleConnection != null) {
@@ -137,14 +170,6 @@
         }
     }
 
-    private void abandonCalls() {
-        if (callInFlight != null) {
-            callInFlight.abandon();
-            callInFlight = null;
-        }
-        abandonOverdueCalls();
-    }
-
     private void abandonOverdueCalls() {
         overdueCalls.forEach(Call::abandon);
         overdueCalls.clear();
@@ -192,13 +217,18 @@
     /** Makes the call overdue and reports the timeout. The next call gets another connection. */
     private void handleTimeout(Call call) {
         callInFlight = null;
+        makeOverdue(call);
+        listener.onFailure(CallFailure.TIMEOUT, "");
+    }
+
+    private void makeOverdue(Call call) {
         overdueCalls.add(call);
+        call.timer.cancel(false);
         call.timer =
                 loop.schedule(() -> fail(call, CallFailure.TIMEOUT, ""), MAX_OVERDUE_MILLIS, TimeUnit.MILLISECONDS);
         if (overdueCalls.size() > MAX_OVERDUE_CALLS) {
             makePlaceForOverdueCall();
         }
-        listener.onFailure(CallFailure.TIMEOUT, "");
     }
 
     /**
@@ -211,7 +241,7 @@
 
     /**
      * Ends a call and closes its connection. Reports the failure unless the call's timeout has been reported before; a
-     * malformed list is always reported, because the next call has to ask for a full snapshot.
+     * malformed list from the present address is always reported, because the next call has to ask for a full snapshot.
      */
     private void fail(Call call, CallFailure failure, String detail) {
         if (!isOpen(call)) {
@@ -222,7 +252,7 @@
             callInFlight = null;
         } else {
             overdueCalls.remove(call);
-            if (failure != CallFailure.MALFORMED_LIST) {
+            if (failure != CallFailure.MALFORMED_LIST || call.toPreviousAddress) {
                 return;
             }
         }
@@ -248,7 +278,7 @@
             return;
         }
         complete(call, HttpUtil.isKeepAlive(response));
-        listener.onResponse(list);
+        listener.onResponse(list, call.toPreviousAddress);
     }
 
     /**
@@ -268,7 +298,7 @@
         }
         closeIdleConnection();
         idleConnection = call.connection;
-        if (!keepAlive) {
+        if (!keepAlive || call.toPreviousAddress) {
             closeIdleConnection();
         }
     }
--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
@@ -140,9 +140,10 @@
     }
 
     /**
-     * Watches discovery at {@code newAddress} from now on, and fetches a full snapshot from there first. A call in
-     * flight to the previous address is cancelled. Neither the cancelled call nor failures at the previous address
-     * count for the backoff. Has no effect if the address is unchanged.
+     * Watches discovery at {@code newAddress} from now on, and fetches a full snapshot from there first. Calls to the
+     * previous address are cancelled, except those for a full snapshot, whose response is still applied if it arrives
+     * before one from the new address. Neither the cancelled calls nor failures at the previous address count for the
+     * backoff. Has no effect if the address is unchanged.
      */
     public void changeAddress(InetSocketAddress newAddress) {
         if (newAddress.equals(address)) {
@@ -153,7 +154,7 @@
         address = newAddress;
         backoff.reset();
         cursor.requireFullSnapshot();
-        client.cancel();
+        client.changeAddress();
         startCallIfIdle();
     }
 
@@ -197,6 +198,13 @@
         scheduleNextCall();
     }
 
+    /** Applies a full snapshot, but not its generation, which the new address may count differently. */
+    private void applyListOfPreviousAddress(EndpointList received) {
+        if (received.fullSnapshot()) {
+            FaultIsolation.run("endpoint_list", () -> confirmAndPass(startTimes.toMonotonic(received)));
+        }
+    }
+
     /** Passes a list from discovery on. If it is the first one, passes it together with the initial list. */
     private void confirmAndPass(EndpointList list) {
         log.listApplied(clock.nowMicros(), list);
@@ -276,7 +284,11 @@
 
     private final class CallListener implements DiscoveryClient.Listener {
         @Override
-        public void onResponse(EndpointList list) {
+        public void onResponse(EndpointList list, boolean fromPreviousAddress) {
+            if (fromPreviousAddress) {
+                applyListOfPreviousAddress(list);
+                return;
+            }
             if (cursor.accepts(list)) {
                 applyList(list);
                 return;
--- a/src/main/java/loadbalancer/proxy/discovery/EndpointListCursor.java
+++ b/src/main/java/loadbalancer/proxy/discovery/EndpointListCursor.java
@@ -38,6 +38,11 @@
         return generation;
     }
 
+    /** Returns whether calls with this request target are answered with a full snapshot. */
+    static boolean isFullSnapshotTarget(String requestTarget) {
+        return requestTarget.equals(PATH);
+    }
+
     /** Returns the request target of the next call. */
     String nextRequestTarget(long longPollWaitMillis) {
         if (fullSnapshotRequired) {
--- a/src/test/java/loadbalancer/SlowDiscoveryTest.java
+++ b/src/test/java/loadbalancer/SlowDiscoveryTest.java
@@ -4,6 +4,8 @@
 
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import loadbalancer.proxy.testing.SidecarFixture;
 import loadbalancer.proxy.testing.SidecarProcessFixture;
 import loadbalancer.proxy.testing.StubDiscovery;
@@ -97,6 +99,40 @@
         }
     }
 
+    /**
+     * Guards against reloads in quick succession, each of which cancels the call that a slow agent is about to answer.
+     */
+    @Test
+    void appliesChangeWhileReloadsMoveSlowDiscovery() throws Exception {
+        StubDiscovery agent = new StubDiscovery(41, ENTRY);
+        try (StubServer first = new StubServer(agent);
+                StubServer second = new StubServer(agent);
+                SidecarProcessFixture sidecar = startSidecar(first, "pushed")) {
+            sidecar.awaitLine("load-balancer: ready ");
+            agent.setDelayMillis(1_300);
+            CountDownLatch applied = new CountDownLatch(1);
+            Thread reloads = new Thread(() -> reloadUntil(applied, sidecar, second.address(), first.address()));
+            reloads.start();
+            sidecar.awaitLine("discovery_address_changed ");
+            assertChangeIsAppliedInTime(agent, sidecar);
+            applied.countDown();
+            reloads.join();
+        }
+    }
+
+    /** Moves discovery from one of two addresses to the other once a second, for up to 10 s. */
+    private static void reloadUntil(CountDownLatch end, SidecarProcessFixture sidecar, String... addresses) {
+        try {
+            int reloads = 0;
+            do {
+                sidecar.writeConfiguration(configuration(addresses[reloads % 2], "pushed"));
+                sidecar.sendHangUp();
+            } while (++reloads < 10 && !end.await(1, TimeUnit.SECONDS));
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** Guards against calls from an outage that leave no place for those that a slow agent answers after it. */
     @ParameterizedTest
     @ValueSource(longs = {7_000, 12_000})
