Fault soak: an agent that answers late, and a restart with an old list beside it

Two new faults: the agent of one sidecar answers 0.3 to 4.5 s late; a sidecar is killed and starts again with its list of before, beside such an agent, after an endpoint has begun to drain. They are drawn from a generator of their own, so that the other faults of a seed stay as they were.

The drain check counts a change that a slow agent learns while the process runs as known when it is delivered, at the latest after 6 s; a change that the agent had before the process started counts from its start. HistoryCheckerTest plants both, within and just beyond the slack.

--- a/src/main/java/loadbalancer/soak/DiscoveryAgent.java
+++ b/src/main/java/loadbalancer/soak/DiscoveryAgent.java
@@ -47,6 +47,7 @@
     private final Set<Watch> watches = new LinkedHashSet<>();
     private long knownGeneration = 1;
     private boolean down;
+    private long answerDelayMicros;
 
     /** A call that waits for a newer version. */
     private record Watch(Channel channel, long generation, Future<?> timeout) {}
@@ -86,6 +87,11 @@
         learn();
     }
 
+    /** Makes each answer that is decided from now on reach the sidecar this much later. */
+    void setAnswerDelayMicros(long newAnswerDelayMicros) {
+        answerDelayMicros = newAnswerDelayMicros;
+    }
+
     /** Takes the newest version of the list, unless discovery is down, and answers the watches that wait for it. */
     void learn() {
         if (down || knownGeneration == registry.generation()) {
@@ -169,7 +175,7 @@
             boolean last = i == pieces - 1;
             loop.schedule(
                     () -> writePiece(channel, RawHttp.bytes(piece), last, process, generation),
-                    i * PIECE_INTERVAL_MICROS,
+                    answerDelayMicros + i * PIECE_INTERVAL_MICROS,
                     TimeUnit.MICROSECONDS);
         }
     }
--- a/src/main/java/loadbalancer/soak/DrainCheck.java
+++ b/src/main/java/loadbalancer/soak/DrainCheck.java
@@ -17,7 +17,9 @@
  * No request is sent to an endpoint later than the grace after its sidecar counts as notified that the endpoint drains
  * or is gone. Where lists are pushed, a sidecar counts as notified when its agent has the change, also if it is not
  * delivered. Where lists are asked for, and while the path to discovery is disturbed, it counts when the change is
- * delivered, at the latest 6 s after discovery had it and could be reached; after a reload 4 s after the signal.
+ * delivered, at the latest 6 s after discovery had it and could be reached; after a reload 4 s after the signal. While
+ * an agent answers late, a sidecar can't know a change before it is delivered, at the latest after 6 s; but one that
+ * the agent had before the process started counts from the start.
  */
 final class DrainCheck implements RuleCheck {
     private static final long NOTIFIED_AFTER_TROUBLE_MICROS = 6_000_000;
@@ -112,6 +114,9 @@
                         latestMicros, Math.max(knownMicros, trouble.untilMicros()) + NOTIFIED_AFTER_TROUBLE_MICROS);
             }
         }
+        if (change.learnedMicros() > startedMicros && isSlow(change, history)) {
+            latestMicros = Math.max(latestMicros, knownMicros + NOTIFIED_AFTER_TROUBLE_MICROS);
+        }
         for (ProcessEvent hangUp : index.events(process, ProcessEventType.HANG_UP_SENT)) {
             long afterReloadMicros = hangUp.atMicros() + NOTIFIED_AFTER_RELOAD_MICROS;
             boolean concerns = hangUp.atMicros() <= knownMicros + SoakSettings.DRAIN_GRACE_MICROS
@@ -123,6 +128,14 @@
         return Math.min(latestMicros, Math.max(knownMicros, deliveredMicros));
     }
 
+    /** Returns whether the agent answered late when it learned the change. */
+    private static boolean isSlow(ListChange change, History history) {
+        return history.discoverySlowness.stream()
+                .anyMatch(slowness -> slowness.sidecar() == change.sidecar()
+                        && slowness.fromMicros() <= change.learnedMicros() + SoakSettings.DRAIN_GRACE_MICROS
+                        && change.learnedMicros() <= slowness.untilMicros());
+    }
+
     /** Returns when the change, or a later one, was first written to the process. */
     private static long deliveredMicros(int process, ListChange change, History history) {
         long deliveredMicros = Long.MAX_VALUE;
--- a/src/main/java/loadbalancer/soak/Fault.java
+++ b/src/main/java/loadbalancer/soak/Fault.java
@@ -60,6 +60,13 @@
         CLOCK_STEP_ALL,
         /** The wall clock of a sidecar is stepped. */
         CLOCK_STEP_ONE,
-        SYSTEM_CALLS_FAIL
+        SYSTEM_CALLS_FAIL,
+        /** The agent of a sidecar answers late. */
+        DISCOVERY_SLOW,
+        /**
+         * A sidecar is killed, an endpoint begins to drain, and the sidecar starts again with its list of before,
+         * beside an agent that answers late.
+         */
+        RESTART_BESIDE_SLOW_DISCOVERY
     }
 }
--- a/src/main/java/loadbalancer/soak/FaultInjector.java
+++ b/src/main/java/loadbalancer/soak/FaultInjector.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
+import loadbalancer.soak.History.DiscoverySlowness;
 import loadbalancer.soak.History.DiscoveryTrouble;
 import loadbalancer.soak.History.ListedState;
 
@@ -27,6 +28,8 @@
     /** Steps of the wall clock, in milliseconds. */
     private static final long[] CLOCK_STEPS_MILLIS = {3_600_000, -3_600_000, 5_000, -5_000};
 
+    private static final long MIN_ANSWER_DELAY_MICROS = 300_000;
+    private static final long MAX_ANSWER_DELAY_MICROS = 4_500_000;
     private static final int FAILURES_PER_THOUSAND = 50;
 
     private final SoakContext context;
@@ -66,6 +69,10 @@
                     processFaults.restart(fault.sidecar());
                 }
                 case KILL -> processFaults.killAndStart(fault.sidecar());
+                case RESTART_BESIDE_SLOW_DISCOVERY -> processFaults.restartWithOldList(fault.sidecar(), () -> {
+                    list(List.of(fault.endpoint()), ListedState.DRAINING, fault.durationMicros());
+                    slowDiscovery(fault);
+                });
                 case STOP_SHORT -> processFaults.stop(fault.sidecar(), 100 + fault.variant() % 40);
                 case STOP_LONG -> processFaults.stop(fault.sidecar(), 300 + fault.variant() % 500);
                 case CLIENT_FLOOD -> FloodingClient.run(world.clientAddress(fault.sidecar()), fault.durationMicros());
@@ -106,6 +113,7 @@
             case WATCH_SILENT -> troubleWatch(fault, each -> each.setSilent(true), each -> each.setSilent(false));
             case WATCH_DELAYED -> troubleWatch(
                     fault, each -> each.setDelayMicros(MAX_DELAY_MICROS), each -> each.setDelayMicros(0));
+            case DISCOVERY_SLOW -> slowDiscovery(fault);
             case WATCH_ENDED -> agent.endWatches(fault.variant() % 2 == 0);
             case ENDPOINT_HANGS -> during(fault, () -> endpoint.setHanging(true), () -> endpoint.setHanging(false));
             case ENDPOINT_SLOW -> during(fault, () -> endpoint.setSlowness(SLOWNESS), () -> endpoint.setSlowness(1));
@@ -153,6 +161,18 @@
         during(fault, () -> links.forEach(begin), () -> links.forEach(end));
     }
 
+    /** Makes the agent of a sidecar answer late for the duration of the fault. */
+    private void slowDiscovery(Fault fault) {
+        DiscoveryAgent agent = world.agent(fault.sidecar());
+        long delayMicros =
+                MIN_ANSWER_DELAY_MICROS + fault.variant() * (MAX_ANSWER_DELAY_MICROS - MIN_ANSWER_DELAY_MICROS) / 1_000;
+        long nowMicros = context.clock().nowMicros();
+        context.history()
+                .discoverySlowness
+                .add(new DiscoverySlowness(fault.sidecar(), nowMicros, nowMicros + fault.durationMicros()));
+        during(fault, () -> agent.setAnswerDelayMicros(delayMicros), () -> agent.setAnswerDelayMicros(0));
+    }
+
     private void stepAllClocks(long stepMillis) {
         if (processFaults.stepAllClocks(stepMillis)) {
             context.clock().stepWallClock(stepMillis);
--- a/src/main/java/loadbalancer/soak/History.java
+++ b/src/main/java/loadbalancer/soak/History.java
@@ -88,6 +88,9 @@
     /** A time in which discovery or the path to it was disturbed for one sidecar. */
     record DiscoveryTrouble(int sidecar, long fromMicros, long untilMicros) {}
 
+    /** A time in which the agent of a sidecar answered late. */
+    record DiscoverySlowness(int sidecar, long fromMicros, long untilMicros) {}
+
     /** What happened to a sidecar process. */
     enum ProcessEventType {
         STARTED,
@@ -138,6 +141,7 @@
     final List<ListChange> listChanges = new ArrayList<>();
     final List<ListDelivery> listDeliveries = new ArrayList<>();
     final List<DiscoveryTrouble> discoveryTroubles = new ArrayList<>();
+    final List<DiscoverySlowness> discoverySlowness = new ArrayList<>();
     final List<ProcessEvent> processEvents = new ArrayList<>();
     final List<StalledClient> stalledClients = new ArrayList<>();
     final List<RepeatedId> repeatedIds = new ArrayList<>();
--- a/src/main/java/loadbalancer/soak/ProcessFaults.java
+++ b/src/main/java/loadbalancer/soak/ProcessFaults.java
@@ -12,6 +12,8 @@
     private static final long MAX_COUNTED_DEADLINE_MICROS = 3_000_000;
 
     private static final long KILL_DELAY_MICROS = 700_000;
+    /** Longer than any agent takes to learn a change. */
+    private static final long AGENT_LEARNS_MILLIS = 500;
 
     private final SoakContext context;
     private final SoakWorld world;
@@ -58,6 +60,24 @@
         }
     }
 
+    /**
+     * Kills the process and starts the next one with the configuration of before, although its agent has a newer list.
+     *
+     * @param change begins to change the list and makes the agent slow; runs on the event loop while no process runs
+     */
+    void restartWithOldList(int sidecar, Runnable change) throws IOException, InterruptedException {
+        SidecarUnderTest process = world.sidecar(sidecar);
+        if (!process.isAlive() || !world.isReady(sidecar)) {
+            return;
+        }
+        String configuration = world.configuration(sidecar);
+        world.expectRestart(sidecar);
+        process.kill();
+        context.loop().submit(change).sync();
+        Thread.sleep(AGENT_LEARNS_MILLIS);
+        world.start(sidecar, configuration);
+    }
+
     /** Stops the process by signals for some time. */
     void stop(int sidecar, long millis) throws IOException, InterruptedException {
         SidecarUnderTest process = world.sidecar(sidecar);
--- a/src/main/java/loadbalancer/soak/SoakRun.java
+++ b/src/main/java/loadbalancer/soak/SoakRun.java
@@ -46,7 +46,7 @@
     Result play() throws IOException, InterruptedException {
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         SoakSettings settings = SoakSettings.draw(random);
-        List<Fault> faults = FaultPlan.draw(random, settings, lengthMicros);
+        List<Fault> faults = drawFaults(random, settings);
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         ScheduledExecutorService executor = Executors.newScheduledThreadPool(FAULT_THREADS);
         Path folder = Files.createTempDirectory("fault-soak");
@@ -76,6 +76,13 @@
         return result;
     }
 
+    private List<Fault> drawFaults(UniformRandomProvider random, SoakSettings settings) {
+        List<Fault> faults = FaultPlan.draw(random, settings, lengthMicros);
+        UniformRandomProvider separateRandom = RandomSource.XO_RO_SHI_RO_128_PP.create(~seed);
+        faults.addAll(FaultPlan.drawSlowDiscovery(separateRandom, settings, lengthMicros, faults));
+        return faults;
+    }
+
     private static void measureProcessorWaits(SoakContext context, SoakWorld world, ScheduledExecutorService executor) {
         ProcessorWaitMeter meter = new ProcessorWaitMeter(context);
         executor.scheduleWithFixedDelay(
--- a/src/main/java/loadbalancer/soak/SoakWorld.java
+++ b/src/main/java/loadbalancer/soak/SoakWorld.java
@@ -150,8 +150,13 @@
 
     /** Starts a new process of a sidecar; its clients send once it is ready. */
     void start(int sidecar) throws IOException, InterruptedException {
+        start(sidecar, configuration(sidecar));
+    }
+
+    /** Starts a new process of a sidecar with this configuration file; its clients send once it is ready. */
+    void start(int sidecar, String configuration) throws IOException {
         SidecarUnderTest process = sidecars.get(sidecar);
-        process.writeConfiguration(configuration(sidecar));
+        process.writeConfiguration(configuration);
         int number = processCount.incrementAndGet();
         process.start(number);
         if (process.control() != null) {
--- a/src/test/java/loadbalancer/soak/HistoryCheckerTest.java
+++ b/src/test/java/loadbalancer/soak/HistoryCheckerTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import loadbalancer.soak.History.ClientOutcome;
 import loadbalancer.soak.History.ClientRequest;
+import loadbalancer.soak.History.DiscoverySlowness;
 import loadbalancer.soak.History.DiscoveryTrouble;
 import loadbalancer.soak.History.EndpointCall;
 import loadbalancer.soak.History.FaultLine;
@@ -287,6 +288,34 @@
         assertRules(settings(false, true, true), Rule.DRAIN);
     }
 
+    @Test
+    void countsNotificationBySlowDiscovery() {
+        long grace = 300_000;
+        DiscoverySlowness slowness = new DiscoverySlowness(SIDECAR, -2 * SECOND, 30 * SECOND);
+        change("e0", ListedState.DRAINING, 2, 20 * SECOND);
+        history.discoverySlowness.add(slowness);
+        callOfOther("a", "e0", 0, 26 * SECOND + grace);
+        assertRules();
+        change("e0", ListedState.DRAINING, 2, 20 * SECOND);
+        history.discoverySlowness.add(slowness);
+        callOfOther("a", "e0", 0, 26 * SECOND + grace + 1);
+        assertRules(Rule.DRAIN);
+        change("e0", ListedState.DRAINING, 2, 20 * SECOND);
+        history.discoverySlowness.add(slowness);
+        history.listDeliveries.add(new ListDelivery(PROCESS, 2, 22 * SECOND));
+        callOfOther("a", "e0", 0, 22 * SECOND + grace + 1);
+        assertRules(Rule.DRAIN);
+        // The agent had this change before the process started.
+        change("e0", ListedState.DRAINING, 2, -SECOND);
+        history.discoverySlowness.add(slowness);
+        callOfOther("a", "e0", 0, grace);
+        assertRules();
+        change("e0", ListedState.DRAINING, 2, -SECOND);
+        history.discoverySlowness.add(slowness);
+        callOfOther("a", "e0", 0, grace + 1);
+        assertRules(Rule.DRAIN);
+    }
+
     @Test
     void extendsLimitsByLongStopsOnly() {
         long limit = 20 * SECOND + 300_000;
