Split the open calls off the discovery client, and list ids off two callers

OpenCalls now holds the call in flight and the overdue ones and decides which of them end; DiscoveryCall is one of them. EndpointList.ids replaces the same loop in UpstreamEndpoints and EndpointStartTimes. No behavior changes: SlowDiscoveryTest, RestartWhileDiscoveryIsSlowTest, DiscoveryWatchTest and five more classes pass (81 tests).

--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryClient.java
@@ -14,10 +14,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.proxy.eventloop.ClientBootstraps;
 import loadbalancer.proxy.eventloop.ReadTrackingEventLoop;
@@ -31,9 +28,8 @@
 
 /**
  * Fetches endpoint lists over a keep-alive connection. At most one call is in flight. A call that has timed out stays
- * open as an overdue call: a list that arrives slowly is still used unless a call that was started later has completed
- * in the meantime. All methods and callbacks run on the event loop that owns the connections. This class releases the
- * buffer of each response after parsing.
+ * open, see {@link OpenCalls}. All methods and callbacks run on the event loop that owns the connections. This class
+ * releases the buffer of each response after parsing.
  */
 final class DiscoveryClient {
     /**
@@ -61,8 +57,6 @@
     /** Several times the length of an indented list of several thousand endpoints. */
     private static final int MAX_RESPONSE_BYTES = 8 << 20;
 
-    /** Enough for the calls of the last 6 s, the time within which missed changes must be known. */
-    static final int MAX_OVERDUE_CALLS = 8;
     /** How long a call stays open after its timeout, unless it has to make place for a later one. */
     private static final long MAX_OVERDUE_MILLIS = 60_000;
 
@@ -72,34 +66,8 @@
     private final Listener listener;
     /** The connection that the next call reuses; null if there is none. It may have been closed by discovery. */
     private Channel idleConnection;
-    /** Null if no call is in flight. */
-    private Call callInFlight;
 
-    /** The calls that have timed out and are still open, in the order of their starts. */
-    private final List<Call> overdueCalls = new ArrayList<>();
-
-    /** One call to discovery, on a connection of its own until its response is complete. Compared by identity. */
-    private static final class Call {
-        final String requestTarget;
-        /** Whether the address of discovery has changed since this call was started. */
-        boolean toPreviousAddress;
-
-        Channel connection;
-        /** Times the call out, or closes it for good once it is overdue. */
-        Future<?> timer;
-
-        Call(String requestTarget) {
-            this.requestTarget = requestTarget;
-        }
-
-        void abandon() {
-            timer.cancel(false);
-            // If no socket could be opened, Netty's placeholder for the channel throws an exception when it is closed.
-            if (connection.isRegistered()) {
-                connection.close();
-            }
-        }
-    }
+    private final OpenCalls openCalls = new OpenCalls();
 
     DiscoveryClient(ReadTrackingEventLoop eventLoop, MessageMemory messageMemory, Listener listener) {
         loop = eventLoop.nettyEventLoop();
@@ -110,7 +78,7 @@
     }
 
     boolean hasCallInFlight() {
-        return callInFlight != null;
+        return openCalls.hasCallInFlight();
     }
 
     /**
@@ -119,9 +87,9 @@
      * @param address the address of discovery, used only if a new connection has to be opened
      */
     void fetch(InetSocketAddress address, String requestTarget, long timeoutMillis) {
-        Call call = new Call(requestTarget);
-        callInFlight = call;
-        call.timer = loop.schedule(() -> handleTimeout(call), timeoutMillis, TimeUnit.MILLISECONDS);
+        DiscoveryCall call = new DiscoveryCall(requestTarget);
+        openCalls.start(call);
+        call.timer = loop.schedule(this::handleTimeout, timeoutMillis, TimeUnit.MILLISECONDS);
         if (idleConnection != null && idleConnection.isActive()) {
             call.connection = idleConnection;
             idleConnection = null;
@@ -133,11 +101,7 @@
 
     /** Cancels all calls without calling the listener, and closes all connections. */
     void cancel() {
-        if (callInFlight != null) {
-            callInFlight.abandon();
-            callInFlight = null;
-        }
-        abandonOverdueCalls();
+        openCalls.abandonAll();
         closeIdleConnection();
     }
 
@@ -148,18 +112,10 @@
      */
     void changeAddress() {
         closeIdleConnection();
-        if (callInFlight != null) {
-            Call call = callInFlight;
-            callInFlight = null;
-            makeOverdue(call);
-        }
-        for (Call call : List.copyOf(overdueCalls)) {
-            call.toPreviousAddress = true;
-            if (!EndpointListCursor.isFullSnapshotTarget(call.requestTarget)) {
-                overdueCalls.remove(call);
-                call.abandon();
-            }
+        if (openCalls.hasCallInFlight()) {
+            makeCallInFlightOverdue();
         }
+        openCalls.keepFullSnapshotsOfPreviousAddress();
     }
 
     /** Closes the connection of the last response. */
@@ -170,41 +126,19 @@
         }
     }
 
-    private void abandonOverdueCalls() {
-        overdueCalls.forEach(Call::abandon);
-        overdueCalls.clear();
-    }
-
-    private boolean isOpen(Call call) {
-        return call == callInFlight || overdueCalls.contains(call);
-    }
-
-    /** Returns the open call that uses this connection, or null if there is none. */
-    private Call callOn(Channel connection) {
-        if (callInFlight != null && callInFlight.connection == connection) {
-            return callInFlight;
-        }
-        for (Call call : overdueCalls) {
-            if (call.connection == connection) {
-                return call;
-            }
-        }
-        return null;
-    }
-
-    private void connect(InetSocketAddress address, Call call) {
+    private void connect(InetSocketAddress address, DiscoveryCall call) {
         ChannelFuture connectFuture = bootstrap.connect(address);
         call.connection = connectFuture.channel();
         connectFuture.addListener(connected -> {
             if (!connected.isSuccess()) {
                 fail(call, CallFailure.CONNECT_FAILED, "");
-            } else if (isOpen(call)) {
+            } else if (openCalls.contains(call)) {
                 write(call);
             }
         });
     }
 
-    private void write(Call call) {
+    private void write(DiscoveryCall call) {
         FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, call.requestTarget);
         request.headers().set("Host", "discovery");
         call.connection.writeAndFlush(request).addListener(written -> {
@@ -214,52 +148,37 @@
         });
     }
 
-    /** Makes the call overdue and reports the timeout. The next call gets another connection. */
-    private void handleTimeout(Call call) {
-        callInFlight = null;
-        makeOverdue(call);
+    /** Makes the call in flight overdue and reports the timeout. The next call gets another connection. */
+    private void handleTimeout() {
+        makeCallInFlightOverdue();
         listener.onFailure(CallFailure.TIMEOUT, "");
     }
 
-    private void makeOverdue(Call call) {
-        overdueCalls.add(call);
+    private void makeCallInFlightOverdue() {
+        DiscoveryCall call = openCalls.callInFlight();
         call.timer.cancel(false);
         call.timer =
                 loop.schedule(() -> fail(call, CallFailure.TIMEOUT, ""), MAX_OVERDUE_MILLIS, TimeUnit.MILLISECONDS);
-        if (overdueCalls.size() > MAX_OVERDUE_CALLS) {
-            makePlaceForOverdueCall();
-        }
-    }
-
-    /**
-     * Abandons the second oldest overdue call. The oldest one is the next that a very slow discovery answers. The
-     * latest ones are those that it answers after an outage, in which it may have lost all earlier ones.
-     */
-    private void makePlaceForOverdueCall() {
-        overdueCalls.remove(1).abandon();
+        openCalls.makeCallInFlightOverdue();
     }
 
     /**
      * Ends a call and closes its connection. Reports the failure unless the call's timeout has been reported before; a
      * malformed list from the present address is always reported, because the next call has to ask for a full snapshot.
      */
-    private void fail(Call call, CallFailure failure, String detail) {
-        if (!isOpen(call)) {
+    private void fail(DiscoveryCall call, CallFailure failure, String detail) {
+        if (!openCalls.contains(call)) {
             return;
         }
-        call.abandon();
-        if (call == callInFlight) {
-            callInFlight = null;
-        } else {
-            overdueCalls.remove(call);
-            if (failure != CallFailure.MALFORMED_LIST || call.toPreviousAddress) {
-                return;
-            }
+        boolean timeoutReported = !openCalls.isInFlight(call);
+        openCalls.abandon(call);
+        boolean needsFullSnapshot = failure == CallFailure.MALFORMED_LIST && !call.toPreviousAddress;
+        if (!timeoutReported || needsFullSnapshot) {
+            listener.onFailure(failure, detail);
         }
-        listener.onFailure(failure, detail);
     }
 
-    private void handleResponse(Call call, FullHttpResponse response) {
+    private void handleResponse(DiscoveryCall call, FullHttpResponse response) {
         if (!response.decoderResult().isSuccess()) {
             String error = SidecarLog.quote(response.decoderResult().cause());
             fail(call, CallFailure.MALFORMED_RESPONSE, "error=" + error);
@@ -281,21 +200,9 @@
         listener.onResponse(list, call.toPreviousAddress);
     }
 
-    /**
-     * Ends a call that has received its response, and abandons the calls that were started earlier: their responses
-     * would be older. Those that were started later may bring a change that this one does not have.
-     */
-    private void complete(Call call, boolean keepAlive) {
-        call.timer.cancel(false);
-        if (call == callInFlight) {
-            callInFlight = null;
-            abandonOverdueCalls();
-        } else {
-            while (overdueCalls.get(0) != call) {
-                overdueCalls.remove(0).abandon();
-            }
-            overdueCalls.remove(0);
-        }
+    /** Ends a call that has received its response. The next call reuses its connection if possible. */
+    private void complete(DiscoveryCall call, boolean keepAlive) {
+        openCalls.complete(call);
         closeIdleConnection();
         idleConnection = call.connection;
         if (!keepAlive || call.toPreviousAddress) {
@@ -333,7 +240,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            Call call = callOn(context.channel());
+            DiscoveryCall call = openCalls.callOn(context.channel());
             if (call != null) {
                 handleResponse(call, response);
             } else {
@@ -344,7 +251,7 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             memoryAccount.close();
-            Call call = callOn(context.channel());
+            DiscoveryCall call = openCalls.callOn(context.channel());
             if (call != null) {
                 fail(call, CallFailure.CONNECTION_CLOSED, "");
             }
--- a/src/main/java/loadbalancer/proxy/discovery/EndpointStartTimes.java
+++ b/src/main/java/loadbalancer/proxy/discovery/EndpointStartTimes.java
@@ -3,7 +3,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -124,10 +123,7 @@
     }
 
     private void removeUnlisted(EndpointList fullSnapshot) {
-        Set<String> listedIds = new HashSet<>();
-        for (EndpointList.Entry entry : fullSnapshot.entries()) {
-            listedIds.add(entry.endpoint().id());
-        }
+        Set<String> listedIds = fullSnapshot.ids();
         listed.entrySet().removeIf(idAndStart -> {
             boolean unlisted = !listedIds.contains(idAndStart.getKey());
             if (unlisted) {
--- a/src/main/java/loadbalancer/proxy/protocol/EndpointList.java
+++ b/src/main/java/loadbalancer/proxy/protocol/EndpointList.java
@@ -5,9 +5,11 @@
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import loadbalancer.decision.Endpoint;
 import loadbalancer.decision.EndpointState;
 
@@ -121,6 +123,15 @@
         return new EndpointList(newer.generation(), true, List.copyOf(entriesById.values()));
     }
 
+    /** Returns the ids of the endpoints. */
+    public Set<String> ids() {
+        Set<String> ids = new HashSet<>();
+        for (Entry entry : entries) {
+            ids.add(entry.endpoint().id());
+        }
+        return ids;
+    }
+
     /** Returns the endpoints without their addresses, in the order of the list. */
     public List<Endpoint> endpoints() {
         return entries.stream().map(Entry::endpoint).toList();
--- a/src/main/java/loadbalancer/proxy/upstream/UpstreamEndpoints.java
+++ b/src/main/java/loadbalancer/proxy/upstream/UpstreamEndpoints.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import loadbalancer.decision.EndpointState;
@@ -47,10 +46,7 @@
     }
 
     private void removeUnlisted(EndpointList fullSnapshot) {
-        Set<String> listedIds = new HashSet<>();
-        for (EndpointList.Entry entry : fullSnapshot.entries()) {
-            listedIds.add(entry.endpoint().id());
-        }
+        Set<String> listedIds = fullSnapshot.ids();
         endpoints.entrySet().removeIf(idAndEndpoint -> {
             if (listedIds.contains(idAndEndpoint.getKey())) {
                 return false;
--- a/src/test/java/loadbalancer/proxy/discovery/DiscoveryWatchTest.java
+++ b/src/test/java/loadbalancer/proxy/discovery/DiscoveryWatchTest.java
@@ -341,7 +341,7 @@
             fixture.watchTimeouts = new WatchTimeouts(10, 0, 10, HOUR_MILLIS);
             fixture.backoff = new ExponentialBackoff(1, 1, bound -> 0);
             fixture.start();
-            int calls = 3 * DiscoveryClient.MAX_OVERDUE_CALLS;
+            int calls = 3 * OpenCalls.MAX_OVERDUE_CALLS;
             for (int i = 0; i < calls; i++) {
                 fixture.discovery.nextRequest();
             }
@@ -351,7 +351,7 @@
                 socket.setSoTimeout(50);
                 open += isOpen(socket) ? 1 : 0;
             }
-            assertTrue(open <= DiscoveryClient.MAX_OVERDUE_CALLS + 1, open + " connections are open");
+            assertTrue(open <= OpenCalls.MAX_OVERDUE_CALLS + 1, open + " connections are open");
         }
     }
 
