One name for the last call, one record for discovery's troubles, one test configuration

EndpointListCursor.upToDate said what EndpointListFreshness alone decides; it is lastCallSucceeded now. DiscoveryWatch passes lists on in one place. In the soak, a slow discovery was recorded in a second record and list beside the other troubles: it is a type of DiscoveryTrouble, and the guard of four process faults is one method. Five process tests built the same configuration, three asked for readiness and two sent requests in methods of their own: SidecarProcessFixture and SidecarFixture do that once. No assertion, bound or setting of a test has changed.

--- a/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/proxy/discovery/DiscoveryWatch.java
@@ -193,19 +193,23 @@
     private void applyList(EndpointList received) {
         recordSuccess();
         cursor.advanceTo(received);
-        // Whatever fails here, the watch has to go on.
-        FaultIsolation.run("endpoint_list", () -> confirmAndPass(startTimes.toMonotonic(received)));
+        passOn(received);
         scheduleNextCall();
     }
 
     /** Applies a full snapshot, but not its generation, which the new address may count differently. */
     private void applyListOfPreviousAddress(EndpointList received) {
         if (received.fullSnapshot()) {
-            FaultIsolation.run("endpoint_list", () -> confirmAndPass(startTimes.toMonotonic(received)));
+            passOn(received);
         }
     }
 
-    /** Passes a list from discovery on. If it is the first one, passes it together with the initial list. */
+    /** Passes a list from discovery on. Whatever fails here, the watch has to go on. */
+    private void passOn(EndpointList received) {
+        FaultIsolation.run("endpoint_list", () -> confirmAndPass(startTimes.toMonotonic(received)));
+    }
+
+    /** Confirms the known list and passes the received one on, the first one together with the initial list. */
     private void confirmAndPass(EndpointList list) {
         log.listApplied(clock.nowMicros(), list);
         EndpointList passed = freshness.isUsable() ? list : initialList.updatedBy(list);
--- a/src/main/java/loadbalancer/proxy/discovery/EndpointListCursor.java
+++ b/src/main/java/loadbalancer/proxy/discovery/EndpointListCursor.java
@@ -15,11 +15,8 @@
      * has changed. Deltas can't be applied to the known list then.
      */
     private boolean fullSnapshotRequired;
-    /**
-     * Whether the known list is the response to the last call. It is not before the first response, because the list of
-     * the configuration may be outdated, and not after a failed call, which may have missed a change.
-     */
-    private boolean upToDate;
+    /** Whether the last call has succeeded; false before the first one. A failed call may have missed a change. */
+    private boolean lastCallSucceeded;
 
     EndpointListCursor(long generation) {
         this.generation = generation;
@@ -30,7 +27,7 @@
      * before the first list, after a failed call and for a full snapshot ask for a response at once.
      */
     boolean nextCallIsLongPoll() {
-        return upToDate && !fullSnapshotRequired;
+        return lastCallSucceeded && !fullSnapshotRequired;
     }
 
     /** Returns the generation of the known list. */
@@ -63,11 +60,11 @@
     void advanceTo(EndpointList accepted) {
         generation = accepted.generation();
         fullSnapshotRequired = false;
-        upToDate = true;
+        lastCallSucceeded = true;
     }
 
     void recordFailedCall(CallFailure failure) {
-        upToDate = false;
+        lastCallSucceeded = false;
         if (failure == CallFailure.MALFORMED_LIST) {
             fullSnapshotRequired = true;
         }
--- a/src/main/java/loadbalancer/soak/DrainCheck.java
+++ b/src/main/java/loadbalancer/soak/DrainCheck.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import loadbalancer.soak.History.DiscoveryTrouble;
+import loadbalancer.soak.History.DiscoveryTroubleType;
 import loadbalancer.soak.History.EndpointCall;
 import loadbalancer.soak.History.ListChange;
 import loadbalancer.soak.History.ListDelivery;
@@ -106,7 +107,8 @@
         long deliveredMicros = deliveredMicros(process, change, history);
         long latestMicros = settings.pushedDiscovery() ? knownMicros : knownMicros + NOTIFIED_AFTER_TROUBLE_MICROS;
         for (DiscoveryTrouble trouble : history.discoveryTroubles) {
-            boolean concerns = trouble.sidecar() == change.sidecar()
+            boolean concerns = trouble.type() == DiscoveryTroubleType.UNREACHABLE
+                    && trouble.sidecar() == change.sidecar()
                     && trouble.fromMicros() <= knownMicros + SoakSettings.DRAIN_GRACE_MICROS
                     && knownMicros <= trouble.untilMicros() + TROUBLE_AFTERMATH_MICROS;
             if (concerns) {
@@ -130,7 +132,8 @@
 
     /** Returns whether the agent answered late when it learned the change. */
     private static boolean isSlow(ListChange change, History history) {
-        return history.discoverySlowness.stream()
+        return history.discoveryTroubles.stream()
+                .filter(trouble -> trouble.type() == DiscoveryTroubleType.SLOW)
                 .anyMatch(slowness -> slowness.sidecar() == change.sidecar()
                         && slowness.fromMicros() <= change.learnedMicros() + SoakSettings.DRAIN_GRACE_MICROS
                         && change.learnedMicros() <= slowness.untilMicros());
--- a/src/main/java/loadbalancer/soak/FaultInjector.java
+++ b/src/main/java/loadbalancer/soak/FaultInjector.java
@@ -10,8 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.UnaryOperator;
-import loadbalancer.soak.History.DiscoverySlowness;
 import loadbalancer.soak.History.DiscoveryTrouble;
+import loadbalancer.soak.History.DiscoveryTroubleType;
 import loadbalancer.soak.History.ListedState;
 
 /**
@@ -154,10 +154,7 @@
     /** Disturbs the path from a sidecar to its agent for the duration of the fault. */
     private void troubleWatch(Fault fault, Consumer<Link> begin, Consumer<Link> end) {
         List<Link> links = world.agent(fault.sidecar()).links();
-        long nowMicros = context.clock().nowMicros();
-        context.history()
-                .discoveryTroubles
-                .add(new DiscoveryTrouble(fault.sidecar(), nowMicros, nowMicros + fault.durationMicros()));
+        recordTrouble(fault, DiscoveryTroubleType.UNREACHABLE);
         during(fault, () -> links.forEach(begin), () -> links.forEach(end));
     }
 
@@ -166,11 +163,15 @@
         DiscoveryAgent agent = world.agent(fault.sidecar());
         long delayMicros =
                 MIN_ANSWER_DELAY_MICROS + fault.variant() * (MAX_ANSWER_DELAY_MICROS - MIN_ANSWER_DELAY_MICROS) / 1_000;
+        recordTrouble(fault, DiscoveryTroubleType.SLOW);
+        during(fault, () -> agent.setAnswerDelayMicros(delayMicros), () -> agent.setAnswerDelayMicros(0));
+    }
+
+    private void recordTrouble(Fault fault, DiscoveryTroubleType type) {
         long nowMicros = context.clock().nowMicros();
         context.history()
-                .discoverySlowness
-                .add(new DiscoverySlowness(fault.sidecar(), nowMicros, nowMicros + fault.durationMicros()));
-        during(fault, () -> agent.setAnswerDelayMicros(delayMicros), () -> agent.setAnswerDelayMicros(0));
+                .discoveryTroubles
+                .add(new DiscoveryTrouble(fault.sidecar(), type, nowMicros, nowMicros + fault.durationMicros()));
     }
 
     private void stepAllClocks(long stepMillis) {
--- a/src/main/java/loadbalancer/soak/History.java
+++ b/src/main/java/loadbalancer/soak/History.java
@@ -85,11 +85,16 @@
     /** A response of an agent that was written completely to a sidecar and contains all changes up to a generation. */
     record ListDelivery(int process, long generation, long writtenMicros) {}
 
-    /** A time in which discovery or the path to it was disturbed for one sidecar. */
-    record DiscoveryTrouble(int sidecar, long fromMicros, long untilMicros) {}
+    /** What disturbed discovery for one sidecar. */
+    enum DiscoveryTroubleType {
+        /** Discovery or the path to it could not be reached, or not in time. */
+        UNREACHABLE,
+        /** The agent answered late. */
+        SLOW
+    }
 
-    /** A time in which the agent of a sidecar answered late. */
-    record DiscoverySlowness(int sidecar, long fromMicros, long untilMicros) {}
+    /** A time in which discovery or the path to it was disturbed for one sidecar. */
+    record DiscoveryTrouble(int sidecar, DiscoveryTroubleType type, long fromMicros, long untilMicros) {}
 
     /** What happened to a sidecar process. */
     enum ProcessEventType {
@@ -141,7 +146,6 @@
     final List<ListChange> listChanges = new ArrayList<>();
     final List<ListDelivery> listDeliveries = new ArrayList<>();
     final List<DiscoveryTrouble> discoveryTroubles = new ArrayList<>();
-    final List<DiscoverySlowness> discoverySlowness = new ArrayList<>();
     final List<ProcessEvent> processEvents = new ArrayList<>();
     final List<StalledClient> stalledClients = new ArrayList<>();
     final List<RepeatedId> repeatedIds = new ArrayList<>();
--- a/src/main/java/loadbalancer/soak/ProcessFaults.java
+++ b/src/main/java/loadbalancer/soak/ProcessFaults.java
@@ -26,7 +26,7 @@
     /** Moves discovery to its other address, replaces the configuration and sends SIGHUP. */
     void reload(int sidecar) throws IOException, InterruptedException {
         SidecarUnderTest process = world.sidecar(sidecar);
-        if (!process.isAlive() || !world.isReady(sidecar)) {
+        if (!isServing(sidecar)) {
             return;
         }
         world.moveDiscovery(sidecar);
@@ -37,7 +37,7 @@
     /** Sends SIGTERM, kills the process at the earliest time and starts the next one. */
     void restart(int sidecar) throws IOException, InterruptedException {
         SidecarUnderTest process = world.sidecar(sidecar);
-        if (!process.isAlive() || !world.isReady(sidecar)) {
+        if (!isServing(sidecar)) {
             return;
         }
         world.expectRestart(sidecar);
@@ -53,7 +53,7 @@
 
     void killAndStart(int sidecar) throws IOException, InterruptedException {
         SidecarUnderTest process = world.sidecar(sidecar);
-        if (process.isAlive() && world.isReady(sidecar)) {
+        if (isServing(sidecar)) {
             world.expectRestart(sidecar);
             process.kill();
             world.start(sidecar);
@@ -67,7 +67,7 @@
      */
     void restartWithOldList(int sidecar, Runnable change) throws IOException, InterruptedException {
         SidecarUnderTest process = world.sidecar(sidecar);
-        if (!process.isAlive() || !world.isReady(sidecar)) {
+        if (!isServing(sidecar)) {
             return;
         }
         String configuration = world.configuration(sidecar);
@@ -78,6 +78,10 @@
         world.start(sidecar, configuration);
     }
 
+    private boolean isServing(int sidecar) {
+        return world.sidecar(sidecar).isAlive() && world.isReady(sidecar);
+    }
+
     /** Stops the process by signals for some time. */
     void stop(int sidecar, long millis) throws IOException, InterruptedException {
         SidecarUnderTest process = world.sidecar(sidecar);
--- a/src/main/java/loadbalancer/soak/SoakReport.java
+++ b/src/main/java/loadbalancer/soak/SoakReport.java
@@ -104,9 +104,6 @@
         history.discoveryTroubles.stream()
                 .filter(trouble -> trouble.untilMicros() >= from && trouble.fromMicros() <= until)
                 .forEach(trouble -> lines.add(new TimedLine(trouble.fromMicros(), trouble.toString())));
-        history.discoverySlowness.stream()
-                .filter(slowness -> slowness.untilMicros() >= from && slowness.fromMicros() <= until)
-                .forEach(slowness -> lines.add(new TimedLine(slowness.fromMicros(), slowness.toString())));
         history.processorWaits.stream()
                 .filter(wait -> wait.untilMicros() >= from && wait.fromMicros() <= until)
                 .forEach(wait -> lines.add(new TimedLine(wait.fromMicros(), wait.toString())));
--- a/src/test/java/loadbalancer/RestartWhileDiscoveryIsSlowTest.java
+++ b/src/test/java/loadbalancer/RestartWhileDiscoveryIsSlowTest.java
@@ -25,16 +25,9 @@
 class RestartWhileDiscoveryIsSlowTest {
     private static final long READY_LIMIT_MILLIS = 10_000;
     private static final int REQUESTS_WHEN_READY = 40;
+    private static final long REMAINING_MILLIS = 300;
     private static final int PIECES = 20;
 
-    private static final String SETTINGS =
-            """
-            {"me":0,"balancers":1,"zone":"za","azs":["za"],"kinds":["k"],"discovery":"DISCOVERY_MODE",
-             "profiles":[{"name":"c","semantics":"safe","objective_us":100000,"give_up_us":1000000}],
-             "rules":{"drain_grace_us":250000,"cold_share":0.2,"ramp_time_us":1000000,"fall_multiple":3,
-                      "fall_us":1000000,"ask_every_us":10000000},
-             "limits":{"max_attempts":4,"dial_timeout_us":150000,"conn_idle_us":10000000,"second_copies":true}}""";
-
     @TempDir
     Path folder;
 
@@ -48,9 +41,10 @@
     }
 
     private String configuration(String discoveryAddress, String discoveryMode) {
-        String known = SidecarFixture.endpointListJson(41, true, entry(serving, "Ready"), entry(draining, "Ready"));
-        return "{\"listen\":\"127.0.0.1:0\",\"seed\":\"1\",\"discovery\":\"" + discoveryAddress + "\",\"known\":"
-                + known + ",\"settings\":" + SETTINGS.replace("DISCOVERY_MODE", discoveryMode) + "}";
+        String settings = SidecarProcessFixture.settingsJson(discoveryMode)
+                .replace("\"max_attempts\":4", "\"max_attempts\":4,\"second_copies\":true");
+        return SidecarProcessFixture.configurationJson(
+                discoveryAddress, settings, entry(serving, "Ready"), entry(draining, "Ready"));
     }
 
     private String change() {
@@ -89,14 +83,14 @@
             long startNanos = System.nanoTime();
             InetSocketAddress address = sidecar.awaitListenAddress();
             int early = 0;
-            while (!isReady(address)) {
-                int status = sendRequest(address, "early-" + early++);
+            while (SidecarFixture.readinessStatus(address) != 200) {
+                int status = SidecarFixture.requestStatus(address, "early-" + early++, REMAINING_MILLIS);
                 assertTrue(status == 200 || status == 503 || status == 504, "status " + status);
             }
             long readyMillis = (System.nanoTime() - startNanos) / 1_000_000;
             assertTrue(readyMillis < READY_LIMIT_MILLIS, "ready after " + readyMillis + " ms");
             for (int i = 0; i < REQUESTS_WHEN_READY; i++) {
-                assertEquals(200, sendRequest(address, "ready-" + i));
+                assertEquals(200, SidecarFixture.requestStatus(address, "ready-" + i, REMAINING_MILLIS));
             }
             assertEquals(0, draining.receivedRequests.size(), "requests reached the server that drains");
         } finally {
@@ -105,18 +99,6 @@
         }
     }
 
-    private static boolean isReady(InetSocketAddress address) throws Exception {
-        try (StubServer.Client client = new StubServer.Client(address)) {
-            return client.send("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").readStatus() == 200;
-        }
-    }
-
-    private static int sendRequest(InetSocketAddress address, String id) throws Exception {
-        try (StubServer.Client client = new StubServer.Client(address)) {
-            return client.send(SidecarFixture.idempotentRequest(id, 300)).readStatus();
-        }
-    }
-
     /** Guards against use of the configured list because the first call has timed out: its answer is on its way. */
     @ParameterizedTest
     @CsvSource({"700,pushed", "2000,pushed", "5000,pushed", "2000,on_request"})
@@ -181,12 +163,12 @@
                         new SidecarProcessFixture(folder, configuration(discovery.address(), "pushed"), Map.of())) {
             long startNanos = System.nanoTime();
             InetSocketAddress address = sidecar.awaitListenAddress();
-            while (!isReady(address)) {
+            while (SidecarFixture.readinessStatus(address) != 200) {
                 Thread.sleep(20);
             }
             long readyMillis = (System.nanoTime() - startNanos) / 1_000_000;
             assertTrue(readyMillis < READY_LIMIT_MILLIS, "ready after " + readyMillis + " ms");
-            assertEquals(200, sendRequest(address, "ready"));
+            assertEquals(200, SidecarFixture.requestStatus(address, "ready", REMAINING_MILLIS));
         } finally {
             serving.close();
             draining.close();
--- a/src/test/java/loadbalancer/SlowDiscoveryTest.java
+++ b/src/test/java/loadbalancer/SlowDiscoveryTest.java
@@ -25,20 +25,12 @@
     private static final long DRAIN_GRACE_MILLIS = 250;
     private static final String ENTRY = SidecarFixture.endpointJson("u0", "127.0.0.1:9", "Ready", 0);
 
-    private static final String SETTINGS =
-            """
-            {"me":0,"balancers":1,"zone":"za","azs":["za"],"kinds":["k"],"discovery":"DISCOVERY_MODE",
-             "profiles":[{"name":"c","semantics":"safe","objective_us":100000,"give_up_us":1000000}],
-             "rules":{"drain_grace_us":250000,"cold_share":0.2,"ramp_time_us":1000000,"fall_multiple":3,
-                      "fall_us":1000000,"ask_every_us":10000000}}""";
-
     @TempDir
     Path folder;
 
     private static String configuration(String discoveryAddress, String discoveryMode) {
-        return "{\"listen\":\"127.0.0.1:0\",\"seed\":\"1\",\"discovery\":\"" + discoveryAddress + "\",\"known\":"
-                + SidecarFixture.endpointListJson(41, true, ENTRY) + ",\"settings\":"
-                + SETTINGS.replace("DISCOVERY_MODE", discoveryMode) + "}";
+        return SidecarProcessFixture.configurationJson(
+                discoveryAddress, SidecarProcessFixture.settingsJson(discoveryMode), ENTRY);
     }
 
     private SidecarProcessFixture startSidecar(StubServer discovery, String discoveryMode) throws Exception {
--- a/src/test/java/loadbalancer/WorkSentToRemovedServersTest.java
+++ b/src/test/java/loadbalancer/WorkSentToRemovedServersTest.java
@@ -25,14 +25,6 @@
 
     private static final int REQUESTS_AFTER_REMOVAL = 20;
 
-    private static final String SETTINGS =
-            """
-            {"me":0,"balancers":1,"zone":"za","azs":["za"],"kinds":["k"],"discovery":"DISCOVERY_MODE",
-             "profiles":[{"name":"c","semantics":"safe","objective_us":100000,"give_up_us":1000000}],
-             "rules":{"drain_grace_us":250000,"cold_share":0.2,"ramp_time_us":1000000,"fall_multiple":3,
-                      "fall_us":1000000,"ask_every_us":10000000},
-             "limits":{"max_attempts":4,"dial_timeout_us":150000,"conn_idle_us":10000000}}""";
-
     @TempDir
     Path folder;
 
@@ -41,21 +33,13 @@
     }
 
     private static String configuration(String discoveryAddress, String discoveryMode, String... knownEntries) {
-        return "{\"listen\":\"127.0.0.1:0\",\"seed\":\"1\",\"discovery\":\"" + discoveryAddress + "\",\"known\":"
-                + SidecarFixture.endpointListJson(41, true, knownEntries) + ",\"settings\":"
-                + SETTINGS.replace("DISCOVERY_MODE", discoveryMode) + "}";
-    }
-
-    private static int sendRequest(InetSocketAddress sidecarAddress, String id, long remainingMillis) throws Exception {
-        try (StubServer.Client client = new StubServer.Client(sidecarAddress)) {
-            return client.send(SidecarFixture.idempotentRequest(id, remainingMillis))
-                    .readStatus();
-        }
+        return SidecarProcessFixture.configurationJson(
+                discoveryAddress, SidecarProcessFixture.settingsJson(discoveryMode), knownEntries);
     }
 
     private static void awaitServed(InetSocketAddress sidecarAddress) throws Exception {
         int number = 0;
-        while (sendRequest(sidecarAddress, "await-" + number, 1_000) != 200) {
+        while (SidecarFixture.requestStatus(sidecarAddress, "await-" + number, 1_000) != 200) {
             number++;
             Thread.sleep(20);
         }
@@ -64,7 +48,7 @@
     private static void assertNoRequestReaches(StubServer server, InetSocketAddress sidecarAddress) throws Exception {
         server.receivedRequests.clear();
         for (int i = 0; i < REQUESTS_AFTER_REMOVAL; i++) {
-            int status = sendRequest(sidecarAddress, "removed-" + i, 200);
+            int status = SidecarFixture.requestStatus(sidecarAddress, "removed-" + i, 200);
             assertTrue(status == 429 || status == 503 || status == 502 || status == 504, "status " + status);
         }
         assertEquals(0, server.receivedRequests.size(), "requests reached a removed server");
@@ -103,19 +87,13 @@
             sidecar.awaitLine("load-balancer: ready ");
             agent.publish(42);
             agent.awaitSent();
-            assertEquals(200, readinessStatus(sidecarAddress));
+            assertEquals(200, SidecarFixture.readinessStatus(sidecarAddress));
             assertNoRequestReaches(server, sidecarAddress);
             agent.publish(43, ready(server));
             awaitServed(sidecarAddress);
         }
     }
 
-    private static int readinessStatus(InetSocketAddress sidecarAddress) throws Exception {
-        try (StubServer.Client client = new StubServer.Client(sidecarAddress)) {
-            return client.send("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").readStatus();
-        }
-    }
-
     @Test
     void sendsNothingAfterReloadToDiscoveryWithoutServers() throws Exception {
         try (StubServer server = new StubServer(StubServer.echoingRequestId())) {
--- a/src/test/java/loadbalancer/proxy/discovery/DiscoveryWatchTest.java
+++ b/src/test/java/loadbalancer/proxy/discovery/DiscoveryWatchTest.java
@@ -415,10 +415,10 @@
             }
         })) {
             StubServer.Connection firstCall = firstCalls.poll(20, TimeUnit.SECONDS);
-            assertEquals(503, readinessStatus(fixture));
+            assertEquals(503, SidecarFixture.readinessStatus(fixture.address()));
             firstCall.respond("200 OK", "", SidecarFixture.endpointListJson(42, false, READY));
             assertEquals("list FULL u0=READY", fixture.awaitEvent("list"));
-            assertEquals(200, readinessStatus(fixture));
+            assertEquals(200, SidecarFixture.readinessStatus(fixture.address()));
         }
     }
 
@@ -429,7 +429,7 @@
     void usesInitialListOnceWaitForFirstListHasEnded() throws Exception {
         long startNanos = System.nanoTime();
         try (SidecarFixture fixture = startPushedFixture(new WatchTimeouts(HOUR_MILLIS, 0, 1, 400), SILENT)) {
-            while (readinessStatus(fixture) != 200) {
+            while (SidecarFixture.readinessStatus(fixture.address()) != 200) {
                 Thread.onSpinWait();
             }
             assertTrue(System.nanoTime() - startNanos >= 400_000_000, "the wait for discovery was cut short");
@@ -445,9 +445,9 @@
                 startPushedFixture(HOUR_LONG_TIMEOUTS, handlerOfSteps(reset, respond("503 Down", "", ""), delta(40)))) {
             fixture.discovery.nextRequest();
             fixture.discovery.nextRequest();
-            assertEquals(503, readinessStatus(fixture));
+            assertEquals(503, SidecarFixture.readinessStatus(fixture.address()));
             assertNull(fixture.events.poll(200, TimeUnit.MILLISECONDS));
-            assertEquals(503, readinessStatus(fixture));
+            assertEquals(503, SidecarFixture.readinessStatus(fixture.address()));
         }
     }
 
@@ -465,10 +465,4 @@
             assertEquals("list DELTA u0=DRAINING", fixture.awaitEvent("list"));
         }
     }
-
-    private static int readinessStatus(SidecarFixture fixture) throws Exception {
-        try (StubServer.Client client = fixture.client()) {
-            return client.send("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").readStatus();
-        }
-    }
 }
--- a/src/test/java/loadbalancer/proxy/testing/SidecarFixture.java
+++ b/src/test/java/loadbalancer/proxy/testing/SidecarFixture.java
@@ -202,6 +202,20 @@
                 + remainingMillis + "\r\n\r\n";
     }
 
+    /** Sends an idempotent request to a sidecar on a new connection and returns the status of the response. */
+    public static int requestStatus(InetSocketAddress address, String id, long remainingMillis) throws IOException {
+        try (StubServer.Client client = new StubServer.Client(address)) {
+            return client.send(idempotentRequest(id, remainingMillis)).readStatus();
+        }
+    }
+
+    /** Asks a sidecar whether it is ready and returns the status of the response. */
+    public static int readinessStatus(InetSocketAddress address) throws IOException {
+        try (StubServer.Client client = new StubServer.Client(address)) {
+            return client.send("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n").readStatus();
+        }
+    }
+
     /**
      * Waits for the next event that begins with {@code prefix} and returns it. Removes it and all events before it.
      * Fails if no event arrives for 20 s.
--- a/src/test/java/loadbalancer/proxy/testing/SidecarProcessFixture.java
+++ b/src/test/java/loadbalancer/proxy/testing/SidecarProcessFixture.java
@@ -22,6 +22,14 @@
     private static final long POLL_INTERVAL_MILLIS = 20;
     private static final long MAX_SHUTDOWN_SECONDS = 60;
 
+    private static final String SETTINGS_JSON =
+            """
+            {"me":0,"balancers":1,"zone":"za","azs":["za"],"kinds":["k"],"discovery":"DISCOVERY_MODE",
+             "profiles":[{"name":"c","semantics":"safe","objective_us":100000,"give_up_us":1000000}],
+             "rules":{"drain_grace_us":250000,"cold_share":0.2,"ramp_time_us":1000000,"fall_multiple":3,
+                      "fall_us":1000000,"ask_every_us":10000000},
+             "limits":{"max_attempts":4,"dial_timeout_us":150000,"conn_idle_us":10000000}}""";
+
     private final Path configurationFile;
     private final Path logFile;
     public final Process process;
@@ -51,6 +59,22 @@
         process = builder.start();
     }
 
+    /**
+     * Returns the settings of a sidecar without peers, with one class of idempotent requests and a drain grace of 0.25
+     * s.
+     *
+     * @param discoveryMode {@code pushed} or {@code on_request}
+     */
+    public static String settingsJson(String discoveryMode) {
+        return SETTINGS_JSON.replace("DISCOVERY_MODE", discoveryMode);
+    }
+
+    /** Returns a configuration with an ephemeral port and, as the list of before, generation 41 with these entries. */
+    public static String configurationJson(String discoveryAddress, String settings, String... knownEntries) {
+        return "{\"listen\":\"127.0.0.1:0\",\"seed\":\"1\",\"discovery\":\"" + discoveryAddress + "\",\"known\":"
+                + SidecarFixture.endpointListJson(41, true, knownEntries) + ",\"settings\":" + settings + "}";
+    }
+
     /** Returns the options of the Java virtual machine that the deploy file states, without the class archive. */
     public static String[] deployedJvmOptions() throws IOException {
         String run = Files.readString(Path.of("deploy/balancer.toml"))
--- a/src/test/java/loadbalancer/soak/FailingSystemCallsTest.java
+++ b/src/test/java/loadbalancer/soak/FailingSystemCallsTest.java
@@ -39,9 +39,8 @@
             }
         };
         try (StubServer discovery = new StubServer(agentOrReset)) {
-            String configuration = "{\"listen\":\"127.0.0.1:0\",\"seed\":\"1\",\"discovery\":\"" + discovery.address()
-                    + "\",\"known\":" + SidecarFixture.endpointListJson(41, true, ENTRY) + ",\"settings\":"
-                    + SidecarFixture.SETTINGS_JSON.replace("on_request", "pushed") + "}";
+            String configuration = SidecarProcessFixture.configurationJson(
+                    discovery.address(), SidecarFixture.SETTINGS_JSON.replace("on_request", "pushed"), ENTRY);
             try (SidecarProcessFixture sidecar = new SidecarProcessFixture(folder, configuration, environment)) {
                 sidecar.awaitLine("load-balancer: ready ");
                 // Each call needs a new socket, and some of them can't be opened.
--- a/src/test/java/loadbalancer/soak/HistoryCheckerTest.java
+++ b/src/test/java/loadbalancer/soak/HistoryCheckerTest.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import loadbalancer.soak.History.ClientOutcome;
 import loadbalancer.soak.History.ClientRequest;
-import loadbalancer.soak.History.DiscoverySlowness;
 import loadbalancer.soak.History.DiscoveryTrouble;
+import loadbalancer.soak.History.DiscoveryTroubleType;
 import loadbalancer.soak.History.EndpointCall;
 import loadbalancer.soak.History.FaultLine;
 import loadbalancer.soak.History.ListChange;
@@ -260,15 +260,18 @@
     void countsNotificationAfterTroubleAndReload() {
         long grace = 300_000;
         change("e0", ListedState.GONE, 2, 20 * SECOND);
-        history.discoveryTroubles.add(new DiscoveryTrouble(SIDECAR, 19 * SECOND, 21 * SECOND));
+        history.discoveryTroubles.add(
+                new DiscoveryTrouble(SIDECAR, DiscoveryTroubleType.UNREACHABLE, 19 * SECOND, 21 * SECOND));
         callOfOther("a", "e0", 0, 27 * SECOND + grace);
         assertRules();
         change("e0", ListedState.GONE, 2, 20 * SECOND);
-        history.discoveryTroubles.add(new DiscoveryTrouble(SIDECAR, 19 * SECOND, 21 * SECOND));
+        history.discoveryTroubles.add(
+                new DiscoveryTrouble(SIDECAR, DiscoveryTroubleType.UNREACHABLE, 19 * SECOND, 21 * SECOND));
         callOfOther("a", "e0", 0, 27 * SECOND + grace + 1);
         assertRules(Rule.DRAIN);
         change("e0", ListedState.GONE, 2, 20 * SECOND);
-        history.discoveryTroubles.add(new DiscoveryTrouble(SIDECAR, 19 * SECOND, 21 * SECOND));
+        history.discoveryTroubles.add(
+                new DiscoveryTrouble(SIDECAR, DiscoveryTroubleType.UNREACHABLE, 19 * SECOND, 21 * SECOND));
         history.listDeliveries.add(new ListDelivery(PROCESS, 2, 22 * SECOND));
         callOfOther("a", "e0", 0, 22 * SECOND + grace + 1);
         assertRules(Rule.DRAIN);
@@ -291,27 +294,27 @@
     @Test
     void countsNotificationBySlowDiscovery() {
         long grace = 300_000;
-        DiscoverySlowness slowness = new DiscoverySlowness(SIDECAR, -2 * SECOND, 30 * SECOND);
+        DiscoveryTrouble slowness = new DiscoveryTrouble(SIDECAR, DiscoveryTroubleType.SLOW, -2 * SECOND, 30 * SECOND);
         change("e0", ListedState.DRAINING, 2, 20 * SECOND);
-        history.discoverySlowness.add(slowness);
+        history.discoveryTroubles.add(slowness);
         callOfOther("a", "e0", 0, 26 * SECOND + grace);
         assertRules();
         change("e0", ListedState.DRAINING, 2, 20 * SECOND);
-        history.discoverySlowness.add(slowness);
+        history.discoveryTroubles.add(slowness);
         callOfOther("a", "e0", 0, 26 * SECOND + grace + 1);
         assertRules(Rule.DRAIN);
         change("e0", ListedState.DRAINING, 2, 20 * SECOND);
-        history.discoverySlowness.add(slowness);
+        history.discoveryTroubles.add(slowness);
         history.listDeliveries.add(new ListDelivery(PROCESS, 2, 22 * SECOND));
         callOfOther("a", "e0", 0, 22 * SECOND + grace + 1);
         assertRules(Rule.DRAIN);
         // The agent had this change before the process started.
         change("e0", ListedState.DRAINING, 2, -SECOND);
-        history.discoverySlowness.add(slowness);
+        history.discoveryTroubles.add(slowness);
         callOfOther("a", "e0", 0, grace);
         assertRules();
         change("e0", ListedState.DRAINING, 2, -SECOND);
-        history.discoverySlowness.add(slowness);
+        history.discoveryTroubles.add(slowness);
         callOfOther("a", "e0", 0, grace + 1);
         assertRules(Rule.DRAIN);
     }
--- a/src/test/java/loadbalancer/soak/WallClockStepTest.java
+++ b/src/test/java/loadbalancer/soak/WallClockStepTest.java
@@ -68,10 +68,8 @@
         try (StubServer server = new StubServer(endpoint)) {
             StubDiscovery agent = new StubDiscovery(41, entry(server, 0));
             try (StubServer discovery = new StubServer(agent)) {
-                String configuration = "{\"listen\":\"127.0.0.1:0\",\"seed\":\"1\",\"discovery\":\""
-                        + discovery.address() + "\",\"known\":"
-                        + SidecarFixture.endpointListJson(41, true, entry(server, 0)) + ",\"settings\":" + SETTINGS
-                        + "}";
+                String configuration =
+                        SidecarProcessFixture.configurationJson(discovery.address(), SETTINGS, entry(server, 0));
                 try (SidecarProcessFixture sidecar = new SidecarProcessFixture(folder, configuration, environment)) {
                     InetSocketAddress address = sidecar.awaitListenAddress();
                     sidecar.awaitLine("load-balancer: ready ");
